--- /dev/null
+++ b/crates/dillmill-agent/src/agent.rs
@@ -0,0 +1,250 @@
+//! The agent's process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compio::net::{TcpStream, UdpSocket};
+use dillmill_core::claims::RingMember;
+use dillmill_core::{EventKind, FlowId, MemberStatus, Role, ServiceName};
+use dillmill_node::{
+    Inlets, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, View, config::AgentConfig,
+};
+use dillmill_platform::RingStore;
+use dillmill_settings::{CompiledTree, Service, Tls};
+use error_stack::Report;
+
+use crate::chain::closed;
+use crate::context::{AgentContext, Shared};
+use crate::data_task::DataTask;
+use crate::desk::Desk;
+use crate::endpoint::{self, IdSource};
+use crate::ledger::Ledger;
+use crate::metrics::AgentMetrics;
+use crate::quic_socket::QuicSocket;
+use crate::target::Target;
+use crate::{claiming, connection, hand_over, ring_task};
+
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_FAILURES: u32 = 2;
+const STOP_POLL: Duration = Duration::from_millis(100);
+const SPREAD: Duration = Duration::from_secs(2);
+const LINGER: Duration = Duration::from_millis(300);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Its control task.
+    pub node: Node,
+    cx: AgentContext,
+    rings: RingStore,
+    endpoint: quinn::Endpoint,
+    leaving: flume::Sender<()>,
+}
+
+impl Agent {
+    /// Binds the agent's addresses, waits for settings and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or the service's TLS settings can't be used.
+    pub async fn spawn(
+        config: &ProcessConfig,
+        agent: &AgentConfig,
+    ) -> Result<Self, Report<NodeError>> {
+        let service_name = agent.service.clone();
+        let role = Role::Agent(service_name.clone());
+        let node = Node::spawn(config, NodeSpec { role, status: MemberStatus::Leaving }).await?;
+        let metrics = AgentMetrics::new(&node.handle.metrics)?;
+        let socket =
+            UdpSocket::bind(config.data).await.map_err(NodeError::io("bind data", config.data))?;
+        let views = node.handle.views();
+        let (view, settings, service) = first_settings(&views, &service_name).await?;
+
+        let (out_tx, out) = flume::unbounded();
+        let quic = QuicSocket::new(std::net::SocketAddr::V4(config.data), out_tx);
+        let own = FlowId { service: service.node.number, agent: config.data };
+        let ids = IdSource::new(own, settings.flow_keys().clone());
+        let endpoint = endpoint::open(quic.clone(), config.data, &settings, &service, &ids)?;
+
+        let me = RingMember { process: node.handle.process, control: config.control };
+        let desk = Desk::spawn(node.handle.clone(), service_name.clone(), metrics.clone());
+        let window = service.operation.claim_window.duration();
+        let ledger = Ledger::spawn(me, window, node.handle.clock, metrics.clone());
+        let target = Target::new(agent.target)?;
+        let cx = AgentContext {
+            node: node.handle.clone(),
+            me,
+            service: service_name.clone(),
+            desk,
+            ledger,
+            target,
+            metrics: metrics.clone(),
+            shared: Shared::new(view),
+        };
+        let data = DataTask {
+            handle: node.handle.clone(),
+            metrics,
+            service: service_name.clone(),
+            data: config.data,
+            socket,
+            quic,
+            out,
+        };
+        compio::runtime::spawn(data.run()).detach();
+        let rings = RingStore::new(node.platform.clone(), &service_name);
+        let leaving = start_tasks(&cx, &rings, &endpoint);
+        let follower = Follower {
+            cx: cx.clone(),
+            views,
+            endpoint: endpoint.clone(),
+            ids,
+            tls: service.node.tls,
+        };
+        compio::runtime::spawn(follower.run(config.data)).detach();
+        compio::runtime::spawn(probe_target(cx.clone())).detach();
+        Ok(Self { node, cx, rings, endpoint, leaving })
+    }
+
+    /// Stops as planned: takes nothing new, lets requests and flows end, passes claims on.
+    pub async fn stop(self) {
+        let handle: NodeHandle = self.node.handle.clone();
+        let started = handle.clock.now();
+        self.cx.set_stopping();
+        handle.leave();
+        drop(self.leaving);
+        let limit = self
+            .cx
+            .view()
+            .settings
+            .as_ref()
+            .and_then(|s| s.service(&self.cx.service))
+            .map_or(Duration::from_mins(1), |s| s.operation.drain.duration());
+        // Others still send new work until they have heard; it is taken until then.
+        compio::time::sleep(SPREAD.min(limit)).await;
+        self.cx.desk.close();
+        ring_task::leave(&self.cx, &self.rings).await;
+        let mut finished = false;
+        while !finished && handle.clock.now().since(started) < limit {
+            compio::time::sleep(STOP_POLL).await;
+            let feeds = self.cx.metrics.feeds.get();
+            finished = self.cx.desk.busy().await == 0 && feeds == 0;
+        }
+        let handed = ring_task::hand_over(&self.cx, &self.rings).await;
+        let cause = format!(
+            "{}; claims {}",
+            if finished { "all work done" } else { "drain limit reached" },
+            if handed { "passed on" } else { "not passed on" },
+        );
+        handle.journal.record(EventKind::Process, "agent stopped", cause);
+        self.endpoint.close(quinn::VarInt::from_u32(0x100), b"stopped as planned");
+        let _ = compio::time::timeout(LINGER, self.endpoint.wait_idle()).await;
+        handle.stopped().await;
+    }
+}
+
+type FirstSettings = (Arc<View>, Arc<CompiledTree>, Service);
+
+/// Waits until the settings hold the agent's service.
+async fn first_settings(
+    views: &flume::Receiver<Arc<View>>,
+    name: &ServiceName,
+) -> Result<FirstSettings, NodeError> {
+    loop {
+        let view = views
+            .recv_async()
+            .await
+            .map_err(|e| NodeError::new("wait for settings of", name, e))?;
+        let Some(settings) = view.settings.clone() else { continue };
+        if let Some(service) = settings.service(name).cloned() {
+            return Ok((view, settings, service));
+        }
+    }
+}
+
+fn start_tasks(
+    cx: &AgentContext,
+    rings: &RingStore,
+    endpoint: &quinn::Endpoint,
+) -> flume::Sender<()> {
+    let (questions_tx, questions) = flume::unbounded();
+    let (loads_tx, loads) = flume::unbounded();
+    let (handed_tx, handed) = flume::unbounded();
+    cx.node.set_inlets(Inlets { questions: questions_tx, loads: loads_tx, handed: handed_tx });
+    cx.desk.take_loads(loads);
+    compio::runtime::spawn(claiming::answer_all(cx.clone(), questions)).detach();
+    compio::runtime::spawn(hand_over::serve_all(cx.clone(), handed)).detach();
+    compio::runtime::spawn(ring_task::run(cx.clone(), rings.clone())).detach();
+    let (leaving_tx, leaving_rx) = flume::bounded::<()>(0);
+    let leaving = closed(async move {
+        let _ = leaving_rx.recv_async().await;
+    });
+    // A shared future only completes while someone polls it.
+    compio::runtime::spawn(leaving.clone()).detach();
+    let accepting = connection::accept_all(cx.clone(), endpoint.clone(), leaving);
+    compio::runtime::spawn(accepting).detach();
+    leaving_tx
+}
+
+/// Follows the settings: keys of connection ids, certificate, claim window.
+struct Follower {
+    cx: AgentContext,
+    views: flume::Receiver<Arc<View>>,
+    endpoint: quinn::Endpoint,
+    ids: IdSource,
+    tls: Tls,
+}
+
+impl Follower {
+    async fn run(mut self, data: std::net::SocketAddrV4) {
+        while let Ok(view) = self.views.recv_async().await {
+            self.cx.set_view(view.clone());
+            let Some(settings) = &view.settings else { continue };
+            let Some(service) = settings.service(&self.cx.service) else { continue };
+            let own = FlowId { service: service.node.number, agent: data };
+            self.ids.set(own, settings.flow_keys().clone());
+            self.cx.ledger.set_window(service.operation.claim_window.duration());
+            if service.node.tls != self.tls {
+                self.use_tls(&service.node.tls);
+            }
+        }
+    }
+
+    fn use_tls(&mut self, tls: &Tls) {
+        match endpoint::server_config(tls) {
+            Ok(config) => {
+                self.endpoint.set_server_config(Some(config));
+                self.tls = tls.clone();
+                let what = "certificate replaced";
+                self.cx.node.journal.record(EventKind::Settings, what, "settings changed");
+            }
+            Err(e) => {
+                let what = "certificate not replaced";
+                self.cx.node.journal.record(EventKind::Settings, what, e.to_string());
+            }
+        }
+    }
+}
+
+/// Takes new work while the target accepts connections: its own pages lag or mislead.
+async fn probe_target(cx: AgentContext) {
+    let mut failures = PROBE_FAILURES;
+    loop {
+        let connecting = TcpStream::connect(cx.target.addr());
+        let reachable = matches!(compio::time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)));
+        let was = failures < PROBE_FAILURES;
+        failures = if reachable { 0 } else { failures.saturating_add(1) };
+        let is = failures < PROBE_FAILURES;
+        if was != is {
+            cx.desk.target_reachable(is);
+            let what = if is { "target reachable" } else { "target not reachable" };
+            cx.node.journal.record(EventKind::Member, what, "connection attempt");
+            match (is, cx.is_stopping()) {
+                (true, false) => cx.node.serve(),
+                (false, false) => cx.node.leave(),
+                (_, true) => {}
+            }
+        }
+        compio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/dillmill-agent/src/claiming.rs
@@ -0,0 +1,206 @@
+//! Messages between agents that settle who may dispatch a key.
+
+use dillmill_core::claims::{
+    Claim, ClaimAnswer, ClaimKey, Epoch, Finding, Inquiry, Ring, RingMember,
+};
+use dillmill_node::Question;
+use dillmill_wire::{Ask, Reply};
+use futures_util::future::join_all;
+
+use crate::context::AgentContext;
+
+const MAX_ROUNDS: usize = 6;
+
+/// What came of a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Acquired {
+    /// This agent may dispatch in the given epoch.
+    Granted(Epoch),
+    /// Another agent holds the key.
+    Held(RingMember),
+    /// This agent is not in the ring; the given one is.
+    NotInRing(RingMember),
+    /// This agent may not dispatch, and no one else has or will under this claim.
+    NotRun(&'static str),
+    /// It can't be told who has dispatched the key.
+    Unknown(&'static str),
+}
+
+/// Claims `key` for this agent.
+pub async fn acquire(cx: &AgentContext, key: ClaimKey) -> Acquired {
+    for _ in 0..MAX_ROUNDS {
+        let (ring, _) = cx.ledger.ring().await;
+        if !ring.contains(cx.me.process) {
+            return match ring.members.first() {
+                Some(member) => Acquired::NotInRing(*member),
+                None => Acquired::Unknown("the service has no ring of agents yet"),
+            };
+        }
+        let Some(authority) = cx.ledger.authority(key).await else { continue };
+        let answer = if authority.process == cx.me.process {
+            claim_here(cx, key, ring.epoch, cx.me).await
+        } else {
+            claim_at(cx, authority, key, ring.epoch).await
+        };
+        match answer {
+            Some(ClaimAnswer::Granted) if authority.process == cx.me.process => {
+                match leave_copy(cx, key, &ring).await {
+                    Some(true) => return Acquired::Granted(ring.epoch),
+                    Some(false) => {}
+                    None => {
+                        cx.ledger.release(key, cx.me.process);
+                        return Acquired::NotRun("no other agent can keep a copy of the claim");
+                    }
+                }
+            }
+            Some(ClaimAnswer::Granted) => return Acquired::Granted(ring.epoch),
+            Some(ClaimAnswer::Held(holder)) => return Acquired::Held(holder),
+            Some(ClaimAnswer::OtherEpoch(theirs)) => {
+                settle_epoch(cx, authority, ring, theirs).await;
+            }
+            Some(ClaimAnswer::Unknown) => {
+                return Acquired::Unknown("agents that may have run it are lost");
+            }
+            Some(ClaimAnswer::NotAuthority) => {}
+            None => return Acquired::Unknown("the authority of its key does not answer"),
+        }
+    }
+    Acquired::Unknown("the ring of agents keeps changing")
+}
+
+async fn claim_at(
+    cx: &AgentContext,
+    authority: RingMember,
+    key: ClaimKey,
+    epoch: Epoch,
+) -> Option<ClaimAnswer> {
+    let ask = Ask::Claim { key, epoch, by: cx.me };
+    match cx.node.ask(authority, &cx.service, ask).await {
+        Ok(Reply::Claim(answer)) => Some(answer),
+        _ => None,
+    }
+}
+
+/// Whichever of two agents is in the older epoch takes the newer ring.
+async fn settle_epoch(cx: &AgentContext, other: RingMember, mine: Ring, theirs: Ring) {
+    if theirs.epoch > mine.epoch {
+        cx.ledger.adopt(theirs).await;
+    } else if other.process != cx.me.process {
+        let _ = cx.node.ask(other, &cx.service, Ask::Ring(mine)).await;
+    }
+}
+
+/// Leaves a copy of a grant to itself with one other agent.
+///
+/// `Some(false)` means that an epoch has changed, `None` that nobody can be reached.
+async fn leave_copy(cx: &AgentContext, key: ClaimKey, ring: &Ring) -> Option<bool> {
+    let others: Vec<RingMember> =
+        ring.members.iter().filter(|m| m.process != cx.me.process).copied().collect();
+    if others.is_empty() {
+        return Some(true);
+    }
+    let first = cx.ledger.copy_keeper(key).await;
+    let rest = others.into_iter().filter(|m| Some(*m) != first);
+    for keeper in first.into_iter().chain(rest) {
+        let ask = Ask::Copy { key, epoch: ring.epoch, holder: cx.me };
+        match cx.node.ask(keeper, &cx.service, ask).await {
+            Ok(Reply::Copied(true)) => return Some(true),
+            Ok(Reply::Copied(false)) => {
+                let answer = cx.node.ask(keeper, &cx.service, Ask::Ring(ring.clone())).await;
+                if let Ok(Reply::Ring(theirs)) = answer {
+                    cx.ledger.adopt(theirs).await;
+                }
+                return Some(false);
+            }
+            _ => {}
+        }
+    }
+    None
+}
+
+/// Decides a claim as the authority, asking other agents where that is needed.
+async fn claim_here(
+    cx: &AgentContext,
+    key: ClaimKey,
+    epoch: Epoch,
+    by: RingMember,
+) -> Option<ClaimAnswer> {
+    let mut findings: Vec<Finding> = Vec::new();
+    let mut claim = cx.ledger.claim(key, epoch, by).await;
+    for _ in 0..MAX_ROUNDS {
+        match claim {
+            Claim::Answer(answer) => return Some(answer),
+            Claim::Consult(agents) => {
+                let asked = agents.into_iter().map(|agent| inquire(cx, agent, key, epoch));
+                findings.extend(join_all(asked).await);
+                claim = cx.ledger.consulted(key, epoch, by, findings.clone()).await;
+            }
+        }
+    }
+    Some(ClaimAnswer::Unknown)
+}
+
+/// Asks one agent about a key; brings it to our epoch first if it is behind.
+async fn inquire(cx: &AgentContext, agent: RingMember, key: ClaimKey, epoch: Epoch) -> Finding {
+    for _ in 0..2 {
+        match cx.node.ask(agent, &cx.service, Ask::Inquire { key, epoch }).await {
+            Ok(Reply::Inquiry(Inquiry::OldEpoch)) => {
+                let (ring, _) = cx.ledger.ring().await;
+                let _ = cx.node.ask(agent, &cx.service, Ask::Ring(ring)).await;
+            }
+            Ok(Reply::Inquiry(Inquiry::NewerEpoch(ring))) => {
+                cx.ledger.adopt(ring).await;
+                break;
+            }
+            Ok(Reply::Inquiry(answer)) => return Finding { asked: agent, answer: Some(answer) },
+            _ => break,
+        }
+    }
+    Finding { asked: agent, answer: None }
+}
+
+/// Gives up a claim that was not used.
+pub async fn release(cx: &AgentContext, key: ClaimKey) {
+    cx.ledger.release(key, cx.me.process);
+    if let Some(authority) = cx.ledger.authority(key).await
+        && authority.process != cx.me.process
+    {
+        let ask = Ask::Release { key, by: cx.me.process };
+        let _ = cx.node.ask(authority, &cx.service, ask).await;
+    }
+}
+
+/// Answers questions of other agents until the process ends.
+pub(crate) async fn answer_all(cx: AgentContext, questions: flume::Receiver<Question>) {
+    while let Ok(question) = questions.recv_async().await {
+        if question.service == cx.service {
+            compio::runtime::spawn(answer(cx.clone(), question)).detach();
+        }
+    }
+}
+
+async fn answer(cx: AgentContext, question: Question) {
+    let reply = match question.ask.clone() {
+        Ask::Claim { key, epoch, by } => match claim_here(&cx, key, epoch, by).await {
+            Some(answer) => Reply::Claim(answer),
+            None => return,
+        },
+        Ask::Inquire { key, epoch } => Reply::Inquiry(cx.ledger.inquire(key, epoch).await),
+        Ask::Copy { key, epoch, holder } => {
+            Reply::Copied(cx.ledger.keep_copy(key, epoch, holder).await)
+        }
+        Ask::Release { key, by } => {
+            cx.ledger.release(key, by);
+            Reply::Done
+        }
+        Ask::Ring(ring) => {
+            cx.ledger.adopt(ring).await;
+            Reply::Ring(cx.ledger.ring().await.0)
+        }
+        Ask::HandOver(records) => {
+            cx.ledger.take_over(records);
+            Reply::Done
+        }
+    };
+    cx.node.reply(&question, reply);
+}
--- /dev/null
+++ b/crates/dillmill-agent/src/connection.rs
@@ -0,0 +1,194 @@
+//! One caller's flow: HTTP/3 (RFC 9114) over QUIC (RFC 9000).
+
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use dillmill_core::{EventKind, GroupName};
+use dillmill_node::View;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+use h3::server::RequestResolver;
+use http::{HeaderMap, StatusCode};
+
+use crate::answer::{Outcome, Sink};
+use crate::chain::{self, Closed, closed};
+use crate::context::AgentContext;
+use crate::request::{DEADLINE_HEADER, KEY_HEADER, Request, end_to_end_headers};
+
+const MAX_KEY_LEN: usize = 256;
+
+/// Takes flows until the endpoint closes; refuses new ones once `leaving` has completed.
+pub(crate) async fn accept_all(cx: AgentContext, endpoint: quinn::Endpoint, leaving: Closed) {
+    while let Some(incoming) = endpoint.accept().await {
+        if leaving.peek().is_some() {
+            incoming.refuse();
+            continue;
+        }
+        compio::runtime::spawn(serve(cx.clone(), incoming, leaving.clone())).detach();
+    }
+}
+
+async fn serve(cx: AgentContext, incoming: quinn::Incoming, leaving: Closed) {
+    let caller = incoming.remote_address();
+    let Ok(connection) = incoming.await else { return };
+    cx.count_flows(1);
+    cx.node.journal.detail(EventKind::Flow, format!("flow of {caller} open"), "handshake");
+    let cause = requests(&cx, connection, leaving).await;
+    cx.count_flows(-1);
+    cx.node.journal.detail(EventKind::Flow, format!("flow of {caller} closed"), cause);
+}
+
+async fn requests(cx: &AgentContext, connection: quinn::Connection, leaving: Closed) -> String {
+    let gone = {
+        let connection = connection.clone();
+        closed(async move {
+            connection.closed().await;
+        })
+    };
+    let h3 = h3::server::Connection::<_, Bytes>::new(h3_quinn::Connection::new(connection)).await;
+    let mut h3 = match h3 {
+        Ok(h3) => h3,
+        Err(e) => return e.to_string(),
+    };
+    let mut told = false;
+    loop {
+        let next = {
+            let accepting = h3.accept();
+            pin_mut!(accepting);
+            if told {
+                Some(accepting.await)
+            } else {
+                match select(accepting, leaving.clone()).await {
+                    Either::Left((next, _)) => Some(next),
+                    Either::Right(_) => None,
+                }
+            }
+        };
+        match next {
+            None => {
+                // Callers move in time: requests that are in flight go on (RFC 9114 section 5.2).
+                told = true;
+                if let Err(e) = h3.shutdown(0).await {
+                    return e.to_string();
+                }
+            }
+            Some(Ok(Some(resolver))) => {
+                compio::runtime::spawn(request(cx.clone(), resolver, gone.clone())).detach();
+            }
+            Some(Ok(None)) => return "all requests done".to_owned(),
+            Some(Err(e)) => return e.to_string(),
+        }
+    }
+}
+
+async fn request(
+    cx: AgentContext,
+    resolver: RequestResolver<h3_quinn::Connection, Bytes>,
+    gone: Closed,
+) {
+    let Ok((head, mut stream)) = resolver.resolve_request().await else { return };
+    let view = cx.view();
+    let checked = check(&cx, &view, &head);
+    let outcome = match checked {
+        Err(outcome) => outcome,
+        Ok(mut req) => {
+            let limit = req.deadline.since(cx.node.clock.now());
+            let max = usize::try_from(req.limits.max_body).unwrap_or(usize::MAX);
+            match compio::time::timeout(limit, read_body(&mut stream, max)).await {
+                Ok(Ok(body)) => {
+                    req.body = body;
+                    let mut sink = Sink::Caller(Box::new(stream));
+                    chain::run(&cx, req, &mut sink, gone).await;
+                    return;
+                }
+                Ok(Err(outcome)) => outcome,
+                Err(_) => Outcome::refused(StatusCode::REQUEST_TIMEOUT, "the body came too late"),
+            }
+        }
+    };
+    let _ = Sink::Caller(Box::new(stream)).outcome(&outcome).await;
+}
+
+type CallerStream = h3::server::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+async fn read_body(stream: &mut CallerStream, max: usize) -> Result<Vec<u8>, Outcome> {
+    let mut body = Vec::new();
+    loop {
+        match stream.recv_data().await {
+            Ok(Some(mut part)) => {
+                if body.len() + part.remaining() > max {
+                    let why = format!("the body is longer than {max} bytes");
+                    return Err(Outcome::refused(StatusCode::PAYLOAD_TOO_LARGE, why));
+                }
+                body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+            }
+            Ok(None) => return Ok(body),
+            Err(e) => return Err(Outcome::refused(StatusCode::BAD_REQUEST, e)),
+        }
+    }
+}
+
+/// Authenticates a request and finds the limits for it.
+fn check(cx: &AgentContext, view: &View, head: &http::Request<()>) -> Result<Request, Outcome> {
+    let settings = view.settings.as_ref();
+    let service = settings.and_then(|s| s.service(&cx.service));
+    let (Some(settings), Some(service)) = (settings, service) else {
+        return Err(Outcome::not_run("the service is not in the settings", Duration::from_secs(1)));
+    };
+    let group = authenticate(view, head.headers())?;
+    let limits = settings.limits(&group, &cx.service);
+    let deadline = deadline(head.headers())?
+        .map_or(limits.deadline.duration(), |asked| asked.min(limits.deadline.duration()));
+    let path = head.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    let feed = service.node.feeds.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    Ok(Request {
+        group,
+        service: cx.service.clone(),
+        method: head.method().clone(),
+        headers: end_to_end_headers(head.headers()),
+        key: key(head.headers())?,
+        deadline: cx.node.clock.now() + deadline,
+        body: Vec::new(),
+        hops: 0,
+        feed,
+        path,
+        limits,
+        operation: service.operation.clone(),
+    })
+}
+
+/// The credentials decide the group: a caller can't name it.
+fn authenticate(view: &View, headers: &HeaderMap) -> Result<GroupName, Outcome> {
+    let refuse = |why: &str| Outcome::refused(StatusCode::UNAUTHORIZED, why);
+    let value = headers.get("authorization").ok_or_else(|| refuse("no bearer token"))?;
+    let token = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .ok_or_else(|| refuse("authorization is no bearer token"))?;
+    view.settings
+        .as_ref()
+        .and_then(|settings| settings.group_of_token(token))
+        .cloned()
+        .ok_or_else(|| refuse("the bearer token is of no group"))
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Outcome> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(None) };
+    let ms: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    ms.map(|ms| Some(Duration::from_millis(ms))).ok_or_else(|| {
+        let why = format!("{DEADLINE_HEADER} is not a whole number of milliseconds");
+        Outcome::refused(StatusCode::BAD_REQUEST, why)
+    })
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<String>, Outcome> {
+    let Some(value) = headers.get(KEY_HEADER) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MAX_KEY_LEN => Ok(Some(text.to_owned())),
+        _ => {
+            let why = format!("{KEY_HEADER} must be 1 to {MAX_KEY_LEN} characters of ASCII");
+            Err(Outcome::refused(StatusCode::BAD_REQUEST, why))
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -0,0 +1,141 @@
+//! Keeps this agent in the ring of its service, and agents that are gone out of it.
+
+use std::time::Duration;
+
+use dillmill_core::claims::{Ring, RingMember};
+use dillmill_core::{EventKind, MemberStatus, ProcessId, Timestamp};
+use dillmill_platform::RingStore;
+use dillmill_wire::Ask;
+
+use crate::context::AgentContext;
+
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const LOST_AFTER: Duration = Duration::from_secs(5);
+const RECORDS_PER_MESSAGE: usize = 100;
+const HAND_OVER_ATTEMPTS: usize = 5;
+
+/// Looks after the ring until the process ends.
+pub(crate) async fn run(cx: AgentContext, store: RingStore) {
+    let mut down_since: Vec<(ProcessId, Timestamp)> = Vec::new();
+    loop {
+        let (ring, _) = cx.ledger.ring().await;
+        let now = cx.node.clock.now();
+        let lost = lost_members(&cx, &ring, &mut down_since, now);
+        let joined = ring.contains(cx.me.process);
+        // One agent changes the ring; the next one in order does if that one is lost too.
+        let is_first = first_serving(&ring, &lost) == Some(cx.me.process);
+        if !joined || (!lost.is_empty() && is_first) {
+            change(&cx, &store, &lost).await;
+        }
+        compio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn first_serving(ring: &Ring, lost: &[ProcessId]) -> Option<ProcessId> {
+    ring.members.iter().map(|m| m.process).find(|p| !lost.contains(p))
+}
+
+/// Returns the ring's agents that have been down, or unknown, for a while.
+fn lost_members(
+    cx: &AgentContext,
+    ring: &Ring,
+    down_since: &mut Vec<(ProcessId, Timestamp)>,
+    now: Timestamp,
+) -> Vec<ProcessId> {
+    let view = cx.view();
+    let is_down = |process: ProcessId| {
+        process != cx.me.process
+            && view.member(process).is_none_or(|m| m.status == MemberStatus::Down)
+    };
+    down_since.retain(|(process, _)| is_down(*process));
+    for member in &ring.members {
+        if is_down(member.process) && !down_since.iter().any(|(p, _)| *p == member.process) {
+            down_since.push((member.process, now));
+        }
+    }
+    down_since
+        .iter()
+        .filter(|(p, since)| ring.contains(*p) && now.since(*since) >= LOST_AFTER)
+        .map(|(p, _)| *p)
+        .collect()
+}
+
+/// Adds this agent to the ring and takes lost ones out.
+async fn change(cx: &AgentContext, store: &RingStore, lost: &[ProcessId]) {
+    let Ok((present, _)) = store.get().await else { return };
+    cx.ledger.adopt(present).await;
+    let (_, live_past) = cx.ledger.ring().await;
+    let me = cx.me;
+    let changed = store
+        .change(|ring| {
+            let gone: Vec<ProcessId> = lost.iter().copied().filter(|p| ring.contains(*p)).collect();
+            let needed = !ring.contains(me.process) || !gone.is_empty();
+            needed.then(|| ring.changed(&[me], &gone, live_past))
+        })
+        .await;
+    let Ok((ring, by_us)) = changed else { return };
+    if by_us {
+        let what = format!("ring of {} has epoch {}", cx.service, ring.epoch.0);
+        let cause =
+            if lost.is_empty() { "agent joins".to_owned() } else { format!("{lost:?} lost") };
+        cx.node.journal.record(EventKind::Member, what, cause);
+    }
+    cx.ledger.adopt(ring).await;
+}
+
+/// Leaves the ring for good: first in force at the others, then passes on all records.
+pub(crate) async fn leave(cx: &AgentContext, store: &RingStore) {
+    for _ in 0..HAND_OVER_ATTEMPTS {
+        let (_, live_past) = cx.ledger.ring().await;
+        let me = cx.me.process;
+        let changed = store
+            .change(|ring| ring.contains(me).then(|| ring.changed(&[], &[me], live_past)))
+            .await;
+        if let Ok((ring, _)) = changed
+            && !ring.contains(me)
+        {
+            tell_all(cx, &ring).await;
+            cx.ledger.adopt(ring).await;
+            return;
+        }
+        compio::time::sleep(CHECK_INTERVAL / 4).await;
+    }
+}
+
+async fn tell_all(cx: &AgentContext, ring: &Ring) {
+    for member in &ring.members {
+        let _ = cx.node.ask(*member, &cx.service, Ask::Ring(ring.clone())).await;
+    }
+}
+
+/// Passes on all records and says so in the ring; call it when nothing is dispatched any more.
+pub(crate) async fn hand_over(cx: &AgentContext, store: &RingStore) -> bool {
+    for (authority, records) in cx.ledger.hand_over().await {
+        for part in records.chunks(RECORDS_PER_MESSAGE) {
+            if !send_part(cx, authority, part).await {
+                return false;
+            }
+        }
+    }
+    let me = cx.me.process;
+    for _ in 0..HAND_OVER_ATTEMPTS {
+        let marked = store
+            .change(|ring| (!ring.handed_over.contains(&me)).then(|| ring.with_handed_over(me)))
+            .await;
+        if let Ok((ring, _)) = marked
+            && ring.handed_over.contains(&me)
+        {
+            tell_all(cx, &ring).await;
+            return true;
+        }
+    }
+    false
+}
+
+async fn send_part(
+    cx: &AgentContext,
+    authority: RingMember,
+    part: &[dillmill_core::claims::HandedRecord],
+) -> bool {
+    cx.node.ask(authority, &cx.service, Ask::HandOver(part.to_vec())).await.is_ok()
+}
--- /dev/null
+++ b/crates/dillmill-core/src/lib.rs
@@ -0,0 +1,42 @@
+//! Types and decisions of dillmill.
+//!
+//! Nothing in this crate opens a socket, reads a clock or draws a random number: the present time
+//! and any randomness are arguments, so that a test or another edge can drive every decision.
+//!
+//! | Module | Decides |
+//! |---|---|
+//! | [`flow_id`] | which agent owns a QUIC connection id |
+//! | [`home_table`] | which agent gets the first packet of a flow |
+//! | [`membership`] | which processes are serving, leaving, suspect or down |
+//! | [`scheduler`] | which request runs next on a target, and which is refused |
+//! | [`claims`] | whether a request that may not be repeated may be dispatched |
+//! | [`placement`] | which agent of a service runs a request |
+//! | [`retry_budget`] | whether a request may be tried once more |
+//! | [`watch_duty`] | which processes hold a watch at the platform |
+
+pub mod claims;
+pub mod event;
+pub mod flow_id;
+pub mod home_table;
+pub mod interval;
+pub mod member;
+pub mod membership;
+pub mod names;
+pub mod numbers;
+pub mod placement;
+pub mod retry_budget;
+pub mod scheduler;
+pub mod secret;
+pub mod timestamp;
+pub mod watch_duty;
+
+pub use event::{Event, EventKind, EventLog};
+pub use flow_id::{FlowId, FlowIdError, FlowKey, FlowKeys};
+pub use home_table::{Home, HomeTable};
+pub use interval::Interval;
+pub use member::{Member, MemberStatus, Role};
+pub use membership::Membership;
+pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
+pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
+pub use secret::Secret;
+pub use timestamp::Timestamp;
--- /dev/null
+++ b/crates/dillmill-core/src/membership.rs
@@ -0,0 +1,565 @@
+//! Which processes are serving, leaving, suspect or down.
+//!
+//! A probing protocol after SWIM (Das, Gupta and Motivala, 2002): each process probes one other at
+//! a time, asks two more to probe when no answer comes, then suspects, and after a delay declares
+//! the silent one down. Records spread as rumours: a record that is new to a process is passed at
+//! once to [`FANOUT`] others, and every probe and answer carries a digest so that two processes
+//! find out that they differ.
+//!
+//! Silence removes new work and nothing else: flows are pinned by their connection ids, and a
+//! process that speaks again raises its version and is served again.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Member, MemberStatus, ProcessId, Revision, Role, ServiceName, Timestamp};
+
+/// Others to which a new record is passed at once.
+pub const FANOUT: usize = 4;
+/// Records in one datagram; about 70 bytes each.
+pub const RECORDS_PER_DATAGRAM: usize = 12;
+/// Parts into which records are divided to compare two processes.
+pub const BUCKETS: usize = 256;
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(400);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1200);
+const SUSPECT_TIMEOUT: Duration = Duration::from_secs(4);
+const REVIVE_INTERVAL: Duration = Duration::from_secs(5);
+const FORGET_AFTER: Duration = Duration::from_mins(30);
+const SYNC_INTERVAL: Duration = Duration::from_secs(20);
+/// A tick that comes this late means that this process was paused, not that others were silent.
+const PAUSE: Duration = Duration::from_millis(800);
+const HELPERS: usize = 2;
+
+/// What two processes compare.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Settings revision in force.
+    pub revision: Revision,
+    /// Hash over all member records.
+    pub members: u64,
+}
+
+/// A message of the probing protocol.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Probe {
+    /// Asks for an [`Probe::Ack`].
+    Ping {
+        /// Number of the probe at its sender.
+        seq: u32,
+        /// Sender's digest.
+        digest: Digest,
+        /// Sender's record of the receiver, so that it can refute a wrong one.
+        about_you: Option<Member>,
+    },
+    /// Answers a ping.
+    Ack {
+        /// Number of the ping.
+        seq: u32,
+        /// Sender's digest.
+        digest: Digest,
+    },
+    /// Asks the receiver to ping `subject` and pass the answer on.
+    PingFor {
+        /// Number of the probe at its sender.
+        seq: u32,
+        /// Control address to ping.
+        subject: SocketAddrV4,
+    },
+    /// Records that are new to the sender.
+    Records(Vec<Member>),
+}
+
+/// A message and where to send it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Control address.
+    pub to: SocketAddrV4,
+    /// The message.
+    pub probe: Probe,
+}
+
+/// A change of a member's standing, for the time line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberChange {
+    /// The record now held.
+    pub member: Member,
+    /// The standing before, `None` for a new member.
+    pub before: Option<MemberStatus>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    member: Member,
+    since: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    subject: ProcessId,
+    seq: u32,
+    sent: Timestamp,
+    asked_helpers: bool,
+}
+
+/// A ping made for another process.
+#[derive(Debug, Clone, Copy)]
+struct Relay {
+    seq: u32,
+    for_addr: SocketAddrV4,
+    for_seq: u32,
+    sent: Timestamp,
+}
+
+/// Draws an index below its argument.
+pub type Draw<'a> = dyn FnMut(usize) -> usize + 'a;
+
+/// The view that one process has of all.
+#[derive(Debug)]
+pub struct Membership {
+    me: Member,
+    entries: BTreeMap<ProcessId, Entry>,
+    hash: u64,
+    seq: u32,
+    pending: Option<Pending>,
+    relays: Vec<Relay>,
+    fresh: VecDeque<ProcessId>,
+    changes: Vec<MemberChange>,
+    next_probe: Timestamp,
+    next_revive: Timestamp,
+    next_sync: Timestamp,
+    last_tick: Option<Timestamp>,
+    revision: Revision,
+    wants_sync: Option<SocketAddrV4>,
+    generation: u64,
+}
+
+impl Membership {
+    /// Creates a view that holds only `me`.
+    #[must_use]
+    pub fn new(me: Member) -> Self {
+        let hash = record_hash(&me);
+        Self {
+            fresh: VecDeque::from([me.process]),
+            me,
+            entries: BTreeMap::new(),
+            hash,
+            seq: 0,
+            pending: None,
+            relays: Vec::new(),
+            changes: Vec::new(),
+            next_probe: Timestamp::default(),
+            next_revive: Timestamp::default(),
+            next_sync: Timestamp::default(),
+            last_tick: None,
+            revision: Revision::default(),
+            wants_sync: None,
+            generation: 0,
+        }
+    }
+
+    /// Returns this process's own record.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns all records but this process's own.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// Returns all records.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(&self.me).chain(self.others())
+    }
+
+    /// Returns the number of processes not known to be down, this one included.
+    #[must_use]
+    pub fn fleet(&self) -> usize {
+        self.all().filter(|m| m.status != MemberStatus::Down).count()
+    }
+
+    /// Returns the agents of `service` that take new work.
+    pub fn serving(&self, service: &ServiceName) -> impl Iterator<Item = &Member> {
+        self.all().filter(move |m| {
+            m.status == MemberStatus::Serving
+                && matches!(&m.role, Role::Agent(name) if name == service)
+        })
+    }
+
+    /// Returns how long `process` has had its standing, `None` if it is not known.
+    #[must_use]
+    pub fn standing(&self, process: ProcessId, now: Timestamp) -> Option<(MemberStatus, Duration)> {
+        self.entries.get(&process).map(|e| (e.member.status, now.since(e.since)))
+    }
+
+    /// Returns a number that grows with every change of the view.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Sets the settings revision that the digest shows.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Returns this process's digest.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest { revision: self.revision, members: self.hash }
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<MemberChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns a peer whose records differ, at most once per 20 s.
+    pub fn take_wants_sync(&mut self) -> Option<SocketAddrV4> {
+        self.wants_sync.take()
+    }
+
+    /// Changes this process's own record, raising its version.
+    pub fn update_me(&mut self, change: impl FnOnce(&mut Member)) {
+        self.hash ^= record_hash(&self.me);
+        change(&mut self.me);
+        self.me.version += 1;
+        self.hash ^= record_hash(&self.me);
+        self.generation += 1;
+        self.mark_fresh(self.me.process);
+    }
+
+    /// Returns a random peer that is not down.
+    pub fn random_peer(&self, draw: &mut Draw<'_>) -> Option<SocketAddrV4> {
+        self.random_peers(1, draw).first().copied()
+    }
+
+    /// Returns up to `n` random peers that are not down.
+    pub fn random_peers(&self, n: usize, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
+        let mut peers: Vec<_> =
+            self.others().filter(|m| m.status != MemberStatus::Down).map(|m| m.control).collect();
+        let n = n.min(peers.len());
+        for i in 0..n {
+            let j = i + draw(peers.len() - i);
+            peers.swap(i, j);
+        }
+        peers.truncate(n);
+        peers
+    }
+
+    /// Takes in a record, if it is newer than the one held.
+    pub fn learn(&mut self, member: Member, now: Timestamp) {
+        if member.process == self.me.process {
+            self.refute(&member);
+            return;
+        }
+        let before = match self.entries.get(&member.process) {
+            Some(entry) if !member.supersedes(&entry.member) => return,
+            Some(entry) => Some(entry.member.status),
+            None if member.status == MemberStatus::Down => return,
+            None => None,
+        };
+        self.retire_predecessors(&member, now);
+        self.store(member, before, now);
+    }
+
+    /// A process found at the address of an earlier run of itself proves that the run has ended.
+    fn retire_predecessors(&mut self, newcomer: &Member, now: Timestamp) {
+        let ended: Vec<Member> = self
+            .others()
+            .filter(|m| {
+                m.control == newcomer.control
+                    && m.process != newcomer.process
+                    && m.started < newcomer.started
+                    && m.status != MemberStatus::Down
+            })
+            .cloned()
+            .collect();
+        for mut member in ended {
+            let before = Some(member.status);
+            member.status = MemberStatus::Down;
+            self.store(member, before, now);
+        }
+    }
+
+    fn refute(&mut self, claimed: &Member) {
+        let wrong = claimed.version > self.me.version
+            || (claimed.version == self.me.version && claimed.status > self.me.status);
+        if wrong {
+            let version = claimed.version;
+            self.update_me(|me| me.version = version);
+        }
+    }
+
+    fn store(&mut self, member: Member, before: Option<MemberStatus>, now: Timestamp) {
+        let process = member.process;
+        self.hash ^= record_hash(&member);
+        if let Some(old) = self.entries.get(&process) {
+            self.hash ^= record_hash(&old.member);
+        }
+        if before != Some(member.status) {
+            self.changes.push(MemberChange { member: member.clone(), before });
+        }
+        let since = match self.entries.get(&process) {
+            Some(old) if old.member.status == member.status => old.since,
+            _ => now,
+        };
+        self.entries.insert(process, Entry { member, since });
+        self.generation += 1;
+        self.mark_fresh(process);
+    }
+
+    fn mark_fresh(&mut self, process: ProcessId) {
+        if !self.fresh.contains(&process) {
+            self.fresh.push_back(process);
+        }
+    }
+
+    fn set_status(&mut self, process: ProcessId, status: MemberStatus, now: Timestamp) {
+        if let Some(entry) = self.entries.get(&process) {
+            let mut member = entry.member.clone();
+            member.status = status;
+            self.learn(member, now);
+        }
+    }
+
+    /// Advances timers and returns what is to be sent; call it every 50 ms or so.
+    pub fn tick(&mut self, now: Timestamp, draw: &mut Draw<'_>) -> Vec<Outgoing> {
+        self.forgive_pause(now);
+        let mut out = Vec::new();
+        self.check_pending(now, draw, &mut out);
+        self.expire(now);
+        if now >= self.next_probe && self.pending.is_none() {
+            self.next_probe = now + PROBE_INTERVAL;
+            self.probe_next(now, draw, &mut out);
+        }
+        if now >= self.next_revive {
+            self.next_revive = now + REVIVE_INTERVAL;
+            self.probe_down(draw, &mut out);
+        }
+        self.spread(draw, &mut out);
+        out
+    }
+
+    fn forgive_pause(&mut self, now: Timestamp) {
+        let paused = self.last_tick.is_some_and(|last| now.since(last) > PAUSE);
+        self.last_tick = Some(now);
+        if paused {
+            self.pending = None;
+            for entry in self.entries.values_mut() {
+                if entry.member.status == MemberStatus::Suspect {
+                    entry.since = now;
+                }
+            }
+        }
+    }
+
+    fn check_pending(&mut self, now: Timestamp, draw: &mut Draw<'_>, out: &mut Vec<Outgoing>) {
+        let Some(pending) = self.pending else { return };
+        let waited = now.since(pending.sent);
+        if waited >= PROBE_TIMEOUT {
+            self.pending = None;
+            if self
+                .entries
+                .get(&pending.subject)
+                .is_some_and(|e| e.member.status < MemberStatus::Suspect)
+            {
+                self.set_status(pending.subject, MemberStatus::Suspect, now);
+            }
+        } else if waited >= DIRECT_TIMEOUT && !pending.asked_helpers {
+            self.pending = Some(Pending { asked_helpers: true, ..pending });
+            let Some(entry) = self.entries.get(&pending.subject) else { return };
+            let subject = entry.member.control;
+            for to in self.random_peers(HELPERS, draw) {
+                if to != subject {
+                    let probe = Probe::PingFor { seq: pending.seq, subject };
+                    out.push(Outgoing { to, probe });
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let silent: Vec<ProcessId> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| {
+                e.member.status == MemberStatus::Suspect && now.since(e.since) >= SUSPECT_TIMEOUT
+            })
+            .map(|(process, _)| *process)
+            .collect();
+        for process in silent {
+            self.set_status(process, MemberStatus::Down, now);
+        }
+        let hash = &mut self.hash;
+        self.entries.retain(|_, e| {
+            let keep = e.member.status != MemberStatus::Down || now.since(e.since) < FORGET_AFTER;
+            if !keep {
+                *hash ^= record_hash(&e.member);
+            }
+            keep
+        });
+        self.relays.retain(|relay| now.since(relay.sent) < PROBE_TIMEOUT);
+    }
+
+    fn probe_next(&mut self, now: Timestamp, draw: &mut Draw<'_>, out: &mut Vec<Outgoing>) {
+        let alive: Vec<ProcessId> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.member.status != MemberStatus::Down)
+            .map(|(process, _)| *process)
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        let subject = alive[draw(alive.len())];
+        self.seq = self.seq.wrapping_add(1);
+        self.pending = Some(Pending { subject, seq: self.seq, sent: now, asked_helpers: false });
+        out.push(self.ping(subject, self.seq));
+    }
+
+    fn probe_down(&self, draw: &mut Draw<'_>, out: &mut Vec<Outgoing>) {
+        let down: Vec<ProcessId> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.member.status == MemberStatus::Down)
+            .map(|(process, _)| *process)
+            .collect();
+        if !down.is_empty() {
+            out.push(self.ping(down[draw(down.len())], 0));
+        }
+    }
+
+    fn ping(&self, subject: ProcessId, seq: u32) -> Outgoing {
+        let member = &self.entries[&subject].member;
+        let about_you = (member.status != MemberStatus::Serving).then(|| member.clone());
+        Outgoing {
+            to: member.control,
+            probe: Probe::Ping { seq, digest: self.digest(), about_you },
+        }
+    }
+
+    fn spread(&mut self, draw: &mut Draw<'_>, out: &mut Vec<Outgoing>) {
+        while !self.fresh.is_empty() {
+            let n = self.fresh.len().min(RECORDS_PER_DATAGRAM);
+            let records: Vec<Member> = self
+                .fresh
+                .drain(..n)
+                .collect::<Vec<_>>()
+                .iter()
+                .filter_map(|p| self.record(*p))
+                .collect();
+            for to in self.random_peers(FANOUT, draw) {
+                out.push(Outgoing { to, probe: Probe::Records(records.clone()) });
+            }
+        }
+    }
+
+    fn record(&self, process: ProcessId) -> Option<Member> {
+        if process == self.me.process {
+            return Some(self.me.clone());
+        }
+        self.entries.get(&process).map(|entry| entry.member.clone())
+    }
+
+    /// Takes in a message that came from `from`.
+    pub fn receive(&mut self, from: SocketAddrV4, probe: Probe, now: Timestamp) -> Vec<Outgoing> {
+        match probe {
+            Probe::Ping { seq, digest, about_you } => {
+                if let Some(member) = about_you {
+                    self.learn(member, now);
+                }
+                self.compare(from, digest, now);
+                let mut out =
+                    vec![Outgoing { to: from, probe: Probe::Ack { seq, digest: self.digest() } }];
+                if !self.entries.values().any(|e| e.member.control == from) {
+                    out.push(Outgoing { to: from, probe: Probe::Records(vec![self.me.clone()]) });
+                }
+                out
+            }
+            Probe::Ack { seq, digest } => {
+                self.compare(from, digest, now);
+                self.acknowledge(from, seq)
+            }
+            Probe::PingFor { seq, subject } => {
+                self.seq = self.seq.wrapping_add(1);
+                self.relays.push(Relay { seq: self.seq, for_addr: from, for_seq: seq, sent: now });
+                let probe = Probe::Ping { seq: self.seq, digest: self.digest(), about_you: None };
+                vec![Outgoing { to: subject, probe }]
+            }
+            Probe::Records(members) => {
+                for member in members {
+                    self.learn(member, now);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn acknowledge(&mut self, from: SocketAddrV4, seq: u32) -> Vec<Outgoing> {
+        if self.pending.is_some_and(|pending| pending.seq == seq) {
+            self.pending = None;
+        }
+        let speaks_again: Vec<Member> = self
+            .others()
+            .filter(|m| m.control == from && m.status >= MemberStatus::Suspect)
+            .cloned()
+            .collect();
+        let mut out: Vec<Outgoing> = speaks_again
+            .into_iter()
+            .map(|m| {
+                let probe = Probe::Ping { seq: 0, digest: self.digest(), about_you: Some(m) };
+                Outgoing { to: from, probe }
+            })
+            .collect();
+        if let Some(i) = self.relays.iter().position(|relay| relay.seq == seq) {
+            let relay = self.relays.swap_remove(i);
+            let probe = Probe::Ack { seq: relay.for_seq, digest: self.digest() };
+            out.push(Outgoing { to: relay.for_addr, probe });
+        }
+        out
+    }
+
+    fn compare(&mut self, from: SocketAddrV4, digest: Digest, now: Timestamp) {
+        if digest.members != self.hash && now >= self.next_sync {
+            self.next_sync = now + SYNC_INTERVAL;
+            self.wants_sync = Some(from);
+        }
+    }
+
+    /// Returns a hash of each bucket of records.
+    #[must_use]
+    pub fn buckets(&self) -> Vec<u64> {
+        let mut buckets = vec![0; BUCKETS];
+        for member in self.all() {
+            buckets[bucket(member.process)] ^= record_hash(member);
+        }
+        buckets
+    }
+
+    /// Returns the records of the buckets in which a peer's hashes differ from ours.
+    #[must_use]
+    pub fn differing(&self, theirs: &[u64]) -> Vec<Member> {
+        let ours = self.buckets();
+        let differs = |p: ProcessId| theirs.get(bucket(p)) != Some(&ours[bucket(p)]);
+        self.all().filter(|m| differs(m.process)).cloned().collect()
+    }
+}
+
+fn bucket(process: ProcessId) -> usize {
+    usize::try_from(process.0 % BUCKETS as u64).unwrap_or(0)
+}
+
+fn record_hash(member: &Member) -> u64 {
+    let mut bytes = [0; 13];
+    bytes[..8].copy_from_slice(&member.process.0.to_le_bytes());
+    bytes[8..12].copy_from_slice(&member.version.to_le_bytes());
+    bytes[12] = member.status as u8;
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/dillmill-core/src/secret.rs
@@ -0,0 +1,36 @@
+//! Text that must not be shown.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A secret text; `Debug` and `Display` hide it.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps `text`.
+    #[must_use]
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the secret itself.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("<secret>")
+    }
+}
+
+impl fmt::Display for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("<secret>")
+    }
+}
--- /dev/null
+++ b/crates/dillmill-core/src/timestamp.rs
@@ -0,0 +1,53 @@
+//! Points in time as arguments of decisions.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since the Unix epoch, taken at start and advanced by the monotonic clock.
+///
+/// Within a process it never goes back. Between processes it is only good enough to order a time
+/// line for a human reader; no decision compares the times of two processes.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// Returns a time of `ms` milliseconds after the epoch.
+    #[must_use]
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms * 1000)
+    }
+
+    /// Returns the time that has passed since `earlier`, or zero.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/crates/dillmill-node/src/control.rs
@@ -0,0 +1,497 @@
+//! The control task: owns the view of members and settings, spreads both, answers questions.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compio::net::UdpSocket;
+use dillmill_core::claims::RingMember;
+use dillmill_core::membership::Outgoing;
+use dillmill_core::{
+    Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, ServiceName, Timestamp,
+};
+use dillmill_settings::{Change, Tree};
+use dillmill_wire::stream::describe;
+use dillmill_wire::{Ask, Message, ProcessStatus, Reply, StreamMessage};
+
+use crate::handle::{Inlets, NodeHandle, Question, with_draw};
+use crate::{Handed, View, client};
+
+const TIMELINE_CAPACITY: usize = 4096;
+const RECENT_CHANGES: usize = 128;
+const CHANGES_PER_DATAGRAM: usize = 8;
+const MAX_DATAGRAM: usize = 8 * 1024;
+const ASK_LIFETIME: Duration = Duration::from_secs(2);
+const JOIN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Everything that the control task takes in.
+#[derive(Debug)]
+pub enum Input {
+    /// A datagram of a process.
+    Datagram {
+        /// Its sender.
+        from: SocketAddrV4,
+        /// Its content.
+        message: Message,
+    },
+    /// A question on a TCP connection.
+    Stream {
+        /// The question.
+        message: StreamMessage,
+        /// Takes the answer.
+        tx: flume::Sender<StreamMessage>,
+    },
+    /// A request handed over on a TCP connection.
+    Handed(Box<Handed>),
+    /// Time passes.
+    Tick,
+    /// A task wants views.
+    Subscribe(flume::Sender<Arc<View>>),
+    /// A role says where questions go.
+    Inlets(Inlets),
+    /// Send a datagram.
+    Send {
+        /// Receiver.
+        to: SocketAddrV4,
+        /// Content.
+        message: Message,
+    },
+    /// Ask an agent.
+    Ask {
+        /// Receiver.
+        to: RingMember,
+        /// The service.
+        service: ServiceName,
+        /// The question.
+        ask: Ask,
+        /// Takes the reply.
+        tx: flume::Sender<Reply>,
+    },
+    /// Changes or a tree, from the platform or a peer.
+    Settings {
+        /// Where they came from.
+        source: String,
+        /// Consecutive changes.
+        changes: Vec<Change>,
+        /// A whole tree.
+        tree: Option<Tree>,
+    },
+    /// Member records from a peer.
+    Members(Vec<Member>),
+    /// An event of another task.
+    Event {
+        /// When.
+        now: Timestamp,
+        /// Kind.
+        kind: EventKind,
+        /// What.
+        what: String,
+        /// Why.
+        cause: String,
+    },
+    /// Whether the platform answered.
+    Platform {
+        /// It did.
+        reachable: bool,
+        /// What it said.
+        cause: String,
+    },
+    /// Take no new work.
+    Leave,
+    /// Take new work.
+    Serve,
+    /// The process ends.
+    Stopped(flume::Sender<()>),
+}
+
+/// The state of the control task.
+pub(crate) struct Control {
+    pub(crate) handle: NodeHandle,
+    pub(crate) socket: UdpSocket,
+    pub(crate) membership: Membership,
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    pub(crate) tree: Tree,
+    pub(crate) settings: Option<Arc<dillmill_settings::CompiledTree>>,
+    pub(crate) recent: VecDeque<Change>,
+    pub(crate) events: EventLog,
+    pub(crate) inlets: Option<Inlets>,
+    pub(crate) subscribers: Vec<flume::Sender<Arc<View>>>,
+    pub(crate) asks: HashMap<u64, (flume::Sender<Reply>, Timestamp)>,
+    pub(crate) next_ask: u64,
+    pub(crate) next_join: Timestamp,
+    pub(crate) platform_reachable: bool,
+    pub(crate) shown: Option<(u64, Revision)>,
+}
+
+impl Control {
+    pub(crate) fn new(
+        handle: NodeHandle,
+        socket: UdpSocket,
+        me: Member,
+        seeds: Vec<SocketAddrV4>,
+    ) -> Self {
+        Self {
+            handle,
+            socket,
+            membership: Membership::new(me),
+            seeds,
+            tree: Tree::default(),
+            settings: None,
+            recent: VecDeque::new(),
+            events: EventLog::new(TIMELINE_CAPACITY),
+            inlets: None,
+            subscribers: Vec::new(),
+            asks: HashMap::new(),
+            next_ask: 1,
+            next_join: Timestamp::default(),
+            platform_reachable: false,
+            shown: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self, rx: flume::Receiver<Input>) {
+        while let Ok(input) = rx.recv_async().await {
+            let now = self.handle.clock.now();
+            self.take(input, now).await;
+            self.record_member_changes(now);
+            self.publish();
+        }
+    }
+
+    async fn take(&mut self, input: Input, now: Timestamp) {
+        match input {
+            Input::Datagram { from, message } => self.datagram(from, message, now).await,
+            Input::Stream { message, tx } => self.answer_stream(message, &tx, now),
+            Input::Handed(handed) => {
+                if let Some(inlets) = &self.inlets {
+                    let _ = inlets.handed.send(*handed);
+                }
+            }
+            Input::Tick => self.tick(now).await,
+            Input::Subscribe(tx) => {
+                let _ = tx.send(Arc::new(self.view()));
+                self.subscribers.push(tx);
+            }
+            Input::Inlets(inlets) => self.inlets = Some(inlets),
+            Input::Send { to, message } => self.send(to, &message).await,
+            Input::Ask { to, service, ask, tx } => {
+                let id = self.next_ask;
+                self.next_ask += 1;
+                self.asks.insert(id, (tx, now));
+                let message = Message::Ask { id, to: to.process, service, ask };
+                self.send(to.control, &message).await;
+            }
+            Input::Settings { source, changes, tree } => {
+                self.take_settings(&source, changes, tree, now).await;
+            }
+            Input::Members(members) => {
+                for member in members {
+                    self.membership.learn(member, now);
+                }
+            }
+            Input::Event { now, kind, what, cause } => self.events.push(now, kind, what, cause),
+            Input::Platform { reachable, cause } => self.platform(reachable, cause),
+            Input::Leave => self.set_status(MemberStatus::Leaving, now).await,
+            Input::Serve => self.set_status(MemberStatus::Serving, now).await,
+            Input::Stopped(tx) => {
+                self.set_status(MemberStatus::Down, now).await;
+                let _ = tx.send(());
+            }
+        }
+    }
+
+    async fn set_status(&mut self, status: MemberStatus, now: Timestamp) {
+        self.membership.update_me(|me| me.status = status);
+        let what = format!("{} is {status}", self.membership.me().vm);
+        self.handle.journal.record(EventKind::Process, what, "own word");
+        self.tick(now).await;
+    }
+
+    fn platform(&mut self, reachable: bool, cause: String) {
+        if self.platform_reachable != reachable {
+            self.platform_reachable = reachable;
+            let what = if reachable { "platform answers" } else { "platform does not answer" };
+            self.handle.journal.record(EventKind::Platform, what, cause);
+        }
+    }
+
+    async fn datagram(&mut self, from: SocketAddrV4, message: Message, now: Timestamp) {
+        match message {
+            Message::Probe(probe) => {
+                self.learn_revision(from, &probe).await;
+                let out = self.membership.receive(from, probe, now);
+                self.send_all(out).await;
+                self.sync_if_wanted();
+            }
+            Message::Load(report) => {
+                if let Some(inlets) = &self.inlets {
+                    let _ = inlets.loads.send((from, report));
+                }
+            }
+            Message::Pull { after } => self.send_changes(from, after).await,
+            Message::Changes(changes) => {
+                self.take_settings(&format!("peer {from}"), changes, None, now).await;
+            }
+            Message::Ask { id, to, service, ask } => {
+                if to == self.membership.me().process
+                    && let Some(inlets) = &self.inlets
+                {
+                    let _ = inlets.questions.send(Question { from, id, service, ask });
+                }
+            }
+            Message::Reply { id, reply } => {
+                if let Some((tx, _)) = self.asks.remove(&id) {
+                    let _ = tx.send(reply);
+                }
+            }
+        }
+    }
+
+    /// A peer that shows a higher revision is asked for what it has.
+    async fn learn_revision(
+        &mut self,
+        from: SocketAddrV4,
+        probe: &dillmill_core::membership::Probe,
+    ) {
+        use dillmill_core::membership::Probe;
+        let (Probe::Ping { digest, .. } | Probe::Ack { digest, .. }) = probe else { return };
+        if digest.revision > self.tree.revision {
+            if digest.revision.0 - self.tree.revision.0 > CHANGES_PER_DATAGRAM as u64 {
+                self.sync_with(from);
+            } else {
+                self.send(from, &Message::Pull { after: self.tree.revision }).await;
+            }
+        }
+    }
+
+    async fn send_changes(&mut self, to: SocketAddrV4, after: Revision) {
+        let changes: Vec<Change> = self
+            .recent
+            .iter()
+            .filter(|change| change.revision > after)
+            .take(CHANGES_PER_DATAGRAM)
+            .cloned()
+            .collect();
+        let follows = changes.first().is_some_and(|change| change.revision == after.next());
+        if follows {
+            self.send(to, &Message::Changes(changes)).await;
+        }
+    }
+
+    /// Takes newer settings into force; what does not follow the present revision is not used.
+    async fn take_settings(
+        &mut self,
+        source: &str,
+        changes: Vec<Change>,
+        tree: Option<Tree>,
+        now: Timestamp,
+    ) {
+        let before = self.tree.revision;
+        if let Some(tree) = tree
+            && tree.revision > self.tree.revision
+        {
+            self.tree = tree;
+            self.recent.clear();
+        }
+        let mut applied = Vec::new();
+        for change in changes {
+            if self.tree.apply(&change).is_ok() {
+                applied.push(change);
+            }
+        }
+        if self.tree.revision == before {
+            return;
+        }
+        self.put_in_force(source, &applied);
+        self.recent.extend(applied.iter().cloned());
+        while self.recent.len() > RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        self.push_changes(applied).await;
+        let _ = now;
+    }
+
+    fn put_in_force(&mut self, source: &str, applied: &[Change]) {
+        let revision = self.tree.revision;
+        self.membership.set_revision(revision);
+        match self.tree.check() {
+            Ok(compiled) => {
+                self.settings = Some(Arc::new(compiled));
+                self.handle.metrics.revision.set(i64::try_from(revision.0).unwrap_or(i64::MAX));
+                let paths: Vec<String> = applied.iter().map(|c| c.path.to_string()).collect();
+                let what = format!("revision {revision} in force {}", paths.join(" "));
+                self.handle.journal.record(EventKind::Settings, what.trim_end(), source);
+            }
+            Err(problems) => {
+                let cause = problems.first().map_or(String::new(), ToString::to_string);
+                let what = format!("revision {revision} can't be read; the one before stays");
+                self.handle.journal.record(EventKind::Settings, what, cause);
+            }
+        }
+    }
+
+    async fn push_changes(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() || changes.len() > CHANGES_PER_DATAGRAM {
+            return;
+        }
+        let peers =
+            with_draw(|draw| self.membership.random_peers(dillmill_core::membership::FANOUT, draw));
+        let message = Message::Changes(changes);
+        for to in peers {
+            self.send(to, &message).await;
+        }
+    }
+
+    async fn tick(&mut self, now: Timestamp) {
+        let out = with_draw(|draw| self.membership.tick(now, draw));
+        self.send_all(out).await;
+        self.asks.retain(|_, (_, at)| now.since(*at) < ASK_LIFETIME);
+        if now >= self.next_join {
+            self.next_join = now + JOIN_INTERVAL;
+            self.join();
+        }
+        self.sync_if_wanted();
+    }
+
+    /// Asks one of the peers in the settings file as long as nobody is known.
+    fn join(&mut self) {
+        let alone = self.membership.fleet() <= 1;
+        if alone && !self.seeds.is_empty() {
+            let seed = self.seeds[crate::handle::draw_below(self.seeds.len())];
+            if seed != self.membership.me().control {
+                self.sync_with(seed);
+            }
+        }
+    }
+
+    fn sync_if_wanted(&mut self) {
+        if let Some(peer) = self.membership.take_wants_sync() {
+            self.sync_with(peer);
+        }
+    }
+
+    fn sync_with(&self, peer: SocketAddrV4) {
+        let question = StreamMessage::Sync {
+            buckets: self.membership.buckets(),
+            after: self.tree.revision,
+            me: self.membership.me().clone(),
+        };
+        let handle = self.handle.clone();
+        compio::runtime::spawn(async move {
+            let answer = client::ask(peer, &handle.key, &question).await;
+            if let Ok(StreamMessage::Synced { members, changes, tree }) = answer {
+                let _ = handle.tx.send(Input::Members(members));
+                let source = format!("peer {peer}");
+                let _ = handle.tx.send(Input::Settings { source, changes, tree });
+            }
+        })
+        .detach();
+    }
+
+    fn answer_stream(
+        &mut self,
+        message: StreamMessage,
+        tx: &flume::Sender<StreamMessage>,
+        now: Timestamp,
+    ) {
+        let answer = match message {
+            StreamMessage::Sync { buckets, after, me } => {
+                self.membership.learn(me, now);
+                self.synced(&buckets, after)
+            }
+            StreamMessage::GetStatus => StreamMessage::Status(Box::new(self.status())),
+            StreamMessage::GetMembers => {
+                StreamMessage::Members(self.membership.all().cloned().collect())
+            }
+            StreamMessage::GetEvents => StreamMessage::Events {
+                process: self.membership.me().process,
+                events: self.events.iter().cloned().collect::<Vec<Event>>(),
+            },
+            _ => return,
+        };
+        let _ = tx.send(answer);
+    }
+
+    fn synced(&self, buckets: &[u64], after: Revision) -> StreamMessage {
+        let members = self.membership.differing(buckets);
+        let changes: Vec<Change> =
+            self.recent.iter().filter(|change| change.revision > after).cloned().collect();
+        let follows = changes.first().is_some_and(|change| change.revision == after.next());
+        if self.tree.revision <= after {
+            StreamMessage::Synced { members, changes: Vec::new(), tree: None }
+        } else if follows {
+            StreamMessage::Synced { members, changes, tree: None }
+        } else {
+            StreamMessage::Synced { members, changes: Vec::new(), tree: Some(self.tree.clone()) }
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        ProcessStatus {
+            member: self.membership.me().clone(),
+            revision: self.settings.as_ref().map_or(Revision(0), |tree| tree.revision()),
+            platform_reachable: self.platform_reachable,
+            flows: u64::try_from(self.handle.metrics.flows.get()).unwrap_or(0),
+            serving: self
+                .membership
+                .all()
+                .filter(|m| m.status == MemberStatus::Serving)
+                .count()
+                .try_into()
+                .unwrap_or(u64::MAX),
+        }
+    }
+
+    fn record_member_changes(&mut self, now: Timestamp) {
+        for change in self.membership.take_changes() {
+            let cause = match change.member.status {
+                MemberStatus::Suspect => "no answer to probes",
+                MemberStatus::Down => "silent, replaced, or own word",
+                MemberStatus::Serving | MemberStatus::Leaving => "own word",
+            };
+            self.handle.journal.record(EventKind::Member, describe(&change), cause);
+        }
+        let _ = now;
+        self.handle.metrics.members.set(i64::try_from(self.membership.fleet()).unwrap_or(i64::MAX));
+    }
+
+    fn view(&self) -> View {
+        View {
+            me: self.membership.me().clone(),
+            members: Arc::new(self.membership.all().cloned().collect()),
+            settings: self.settings.clone(),
+        }
+    }
+
+    fn publish(&mut self) {
+        let state = (
+            self.membership.generation(),
+            self.settings.as_ref().map_or(Revision(0), |tree| tree.revision()),
+        );
+        if self.shown == Some(state) {
+            return;
+        }
+        self.shown = Some(state);
+        let view = Arc::new(self.view());
+        self.subscribers.retain(|tx| tx.send(view.clone()).is_ok());
+    }
+
+    async fn send_all(&mut self, out: Vec<Outgoing>) {
+        for Outgoing { to, probe } in out {
+            self.send(to, &Message::Probe(probe)).await;
+        }
+    }
+
+    async fn send(&mut self, to: SocketAddrV4, message: &Message) {
+        let Ok(bytes) = self.handle.key.seal(message) else { return };
+        if bytes.len() > MAX_DATAGRAM {
+            let what = format!("datagram of {} bytes to {to} not sent", bytes.len());
+            self.handle.journal.record(EventKind::Process, what, "longer than 8 KiB");
+            return;
+        }
+        self.handle.metrics.control_sent.inc_by(bytes.len() as u64);
+        // A datagram that can't be sent is as one that was lost: whoever needs it asks again.
+        let _ = self.socket.send_to(bytes, std::net::SocketAddr::V4(to)).await;
+    }
+}
--- /dev/null
+++ b/crates/dillmill-node/src/framed.rs
@@ -0,0 +1,91 @@
+//! Sealed messages on a TCP connection, each behind its length.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use compio::net::TcpStream;
+use dillmill_wire::stream::MAX_STREAM_MESSAGE;
+use dillmill_wire::{ClusterKey, StreamMessage};
+use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
+use send_wrapper::SendWrapper;
+
+use crate::NodeError;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A connection between two processes.
+#[derive(Debug)]
+pub struct Framed {
+    /// Only ever used on the thread that made it; messages that carry it must be `Send`.
+    stream: SendWrapper<TcpStream>,
+    key: ClusterKey,
+    peer: String,
+}
+
+impl Framed {
+    /// Wraps a connection.
+    #[must_use]
+    pub fn new(stream: TcpStream, key: ClusterKey, peer: String) -> Self {
+        Self { stream: SendWrapper::new(stream), key, peer }
+    }
+
+    /// Connects to a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not accept within half a second.
+    pub async fn connect(to: SocketAddrV4, key: ClusterKey) -> Result<Self, NodeError> {
+        let connecting = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await;
+        let stream = connecting
+            .map_err(|_| NodeError::new("connect to", to, "no answer"))?
+            .map_err(NodeError::io("connect to", to))?;
+        let _ = stream.set_nodelay(true);
+        Ok(Self::new(stream, key, to.to_string()))
+    }
+
+    /// Returns a future that completes when the other side closes the connection.
+    ///
+    /// Only for a connection on which the other side sends nothing more.
+    pub fn closed(&self) -> Shared<LocalBoxFuture<'static, ()>> {
+        let mut stream = TcpStream::clone(&self.stream);
+        let watch = async move {
+            let BufResult(_, _) = stream.read(Vec::with_capacity(1)).await;
+        };
+        watch.boxed_local().shared()
+    }
+
+    /// Sends a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection does.
+    pub async fn send(&mut self, message: &StreamMessage) -> Result<(), NodeError> {
+        let sealed =
+            self.key.seal(message).map_err(|e| NodeError::new("encode for", &self.peer, e))?;
+        let len = u32::try_from(sealed.len())
+            .map_err(|_| NodeError::new("encode for", &self.peer, "message too long"))?;
+        let mut bytes = len.to_be_bytes().to_vec();
+        bytes.extend_from_slice(&sealed);
+        let BufResult(outcome, _) = self.stream.write_all(bytes).await;
+        outcome.map_err(NodeError::io("send to", &self.peer))
+    }
+
+    /// Receives a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection does or ends, and on a message without a valid tag.
+    pub async fn receive(&mut self) -> Result<StreamMessage, NodeError> {
+        let BufResult(outcome, head) = self.stream.read_exact([0_u8; 4]).await;
+        outcome.map_err(NodeError::io("receive from", &self.peer))?;
+        let len = usize::try_from(u32::from_be_bytes(head)).unwrap_or(usize::MAX);
+        if len > MAX_STREAM_MESSAGE {
+            return Err(NodeError::new("receive from", &self.peer, "message too long"));
+        }
+        let BufResult(outcome, body) = self.stream.read_exact(vec![0; len]).await;
+        outcome.map_err(NodeError::io("receive from", &self.peer))?;
+        self.key.open(&body).map_err(|e| NodeError::new("receive from", &self.peer, e))
+    }
+}
--- /dev/null
+++ b/crates/dillmill-node/src/lib.rs
@@ -0,0 +1,30 @@
+//! What every dillmill process has in common.
+//!
+//! A process has a [`Node`]: the control task that owns its view of members and settings, spreads
+//! both, and answers questions about the process; an administration page; a log and a time line.
+//! Tasks reach the control task by messages ([`NodeHandle`]) and get a new [`View`] after each
+//! change.
+
+pub mod admin;
+pub mod client;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod error;
+pub mod framed;
+pub mod handle;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod stop;
+pub mod store_task;
+pub mod view;
+
+pub use clock::Clock;
+pub use config::{LogLevel, ProcessConfig};
+pub use error::NodeError;
+pub use framed::Framed;
+pub use handle::{Handed, Inlets, Journal, NodeHandle, Question, with_draw};
+pub use metrics::Metrics;
+pub use node::{Node, NodeSpec};
+pub use view::View;
--- /dev/null
+++ b/crates/dillmill-node/src/metrics.rs
@@ -0,0 +1,99 @@
+//! Metrics that every process has; each role adds its own to the same registry.
+
+use prometheus::{Encoder, IntCounter, IntGauge, Opts, Registry, TextEncoder};
+
+use crate::NodeError;
+
+/// The registry of a process and the metrics of its control task.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Settings revision in force.
+    pub revision: IntGauge,
+    /// Processes known and not down.
+    pub members: IntGauge,
+    /// Control bytes sent.
+    pub control_sent: IntCounter,
+    /// Control bytes received.
+    pub control_received: IntCounter,
+    /// Control datagrams without a valid tag.
+    pub control_forged: IntCounter,
+    /// Failed calls to the platform.
+    pub platform_errors: IntCounter,
+    /// Open flows.
+    pub flows: IntGauge,
+}
+
+impl Metrics {
+    /// Creates the registry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric's name is taken.
+    pub fn new() -> Result<Self, NodeError> {
+        let registry = Registry::new();
+        let metrics = Self {
+            revision: gauge(&registry, "dillmill_settings_revision", "Settings revision in force")?,
+            members: gauge(&registry, "dillmill_members", "Processes known and not down")?,
+            control_sent: counter(&registry, "dillmill_control_sent_bytes", "Control bytes sent")?,
+            control_received: counter(
+                &registry,
+                "dillmill_control_received_bytes",
+                "Control bytes received",
+            )?,
+            control_forged: counter(
+                &registry,
+                "dillmill_control_forged",
+                "Control datagrams without a valid tag",
+            )?,
+            platform_errors: counter(
+                &registry,
+                "dillmill_platform_errors",
+                "Failed calls to the platform",
+            )?,
+            flows: gauge(&registry, "dillmill_flows", "Open flows")?,
+            registry,
+        };
+        Ok(metrics)
+    }
+
+    /// Adds a counter.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is taken.
+    pub fn counter(&self, name: &str, help: &str) -> Result<IntCounter, NodeError> {
+        counter(&self.registry, name, help)
+    }
+
+    /// Adds a gauge.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is taken.
+    pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, NodeError> {
+        gauge(&self.registry, name, help)
+    }
+
+    /// Returns all metrics in Prometheus' text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, NodeError> {
+    let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+    let metric = IntCounter::with_opts(Opts::new(name, help)).map_err(error)?;
+    registry.register(Box::new(metric.clone())).map_err(error)?;
+    Ok(metric)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, NodeError> {
+    let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+    let metric = IntGauge::with_opts(Opts::new(name, help)).map_err(error)?;
+    registry.register(Box::new(metric.clone())).map_err(error)?;
+    Ok(metric)
+}
--- /dev/null
+++ b/crates/dillmill-node/src/store_task.rs
@@ -0,0 +1,78 @@
+//! Reads settings from the platform while this process has the duty to watch.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dillmill_core::{MemberStatus, Revision, watch_duty};
+use dillmill_platform::SettingsStore;
+use dillmill_settings::Tree;
+
+use crate::control::Input;
+use crate::{NodeHandle, View};
+
+const WATCH: Duration = Duration::from_secs(10);
+const RETRY_MIN: Duration = Duration::from_millis(200);
+const RETRY_MAX: Duration = Duration::from_secs(5);
+const OFF_DUTY: Duration = Duration::from_secs(1);
+
+/// Reads changes for as long as the process lives.
+pub(crate) async fn run(store: SettingsStore, handle: NodeHandle) {
+    let views = handle.views();
+    let mut view = None;
+    let mut pause = RETRY_MIN;
+    loop {
+        view = views.drain().last().or(view);
+        let Some(current) = &view else {
+            view = views.recv_async().await.ok();
+            if view.is_none() {
+                return;
+            }
+            continue;
+        };
+        if !on_duty(current, &handle) && current.revision() > Revision(0) {
+            compio::time::sleep(OFF_DUTY).await;
+            continue;
+        }
+        match read(&store, current.revision(), &handle).await {
+            Ok(()) => {
+                pause = RETRY_MIN;
+                let cause = "call answered".to_owned();
+                let _ = handle.tx.send(Input::Platform { reachable: true, cause });
+            }
+            Err(cause) => {
+                handle.metrics.platform_errors.inc();
+                let _ = handle.tx.send(Input::Platform { reachable: false, cause });
+                compio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_MAX);
+            }
+        }
+    }
+}
+
+fn on_duty(view: &Arc<View>, handle: &NodeHandle) -> bool {
+    let fleet = view.members.iter().filter(|m| m.status != MemberStatus::Down).count();
+    watch_duty::watches(view.me.process, fleet, handle.clock.now())
+}
+
+async fn read(store: &SettingsStore, have: Revision, handle: &NodeHandle) -> Result<(), String> {
+    let source = "platform".to_owned();
+    if have == Revision(0) {
+        let mut tree = Tree::default();
+        store.catch_up(&mut tree).await.map_err(|e| e.current_context().to_string())?;
+        if tree.revision > Revision(0) {
+            let changes = Vec::new();
+            let _ = handle.tx.send(Input::Settings { source, changes, tree: Some(tree) });
+            // Leave the control task time to put the tree in force and show it.
+            compio::time::sleep(RETRY_MIN).await;
+            return Ok(());
+        }
+    }
+    let change =
+        store.wait_for(have.next(), WATCH).await.map_err(|e| e.current_context().to_string())?;
+    if let Some(change) = change {
+        let changes = vec![change];
+        let _ = handle.tx.send(Input::Settings { source, changes, tree: None });
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dillmill-node/src/view.rs
@@ -0,0 +1,52 @@
+//! What the control task tells the other tasks.
+
+use std::sync::Arc;
+
+use dillmill_core::{HomeTable, Member, MemberStatus, ProcessId, Revision, Role, ServiceName};
+use dillmill_settings::CompiledTree;
+
+/// The members and the settings at one moment.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// This process.
+    pub me: Member,
+    /// All members, this process included.
+    pub members: Arc<Vec<Member>>,
+    /// The settings in force; `None` until a first tree came.
+    pub settings: Option<Arc<CompiledTree>>,
+}
+
+impl View {
+    /// Returns the settings revision in force, 0 before the first.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.settings.as_ref().map_or(Revision(0), |tree| tree.revision())
+    }
+
+    /// Returns the agents of `service` that take new flows.
+    #[must_use]
+    pub fn home_table(&self, service: &ServiceName) -> HomeTable {
+        HomeTable::new(self.serving_agents(service).map(Into::into))
+    }
+
+    /// Returns the agents of `service` that take new work.
+    pub fn serving_agents(&self, service: &ServiceName) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |m| {
+            m.status == MemberStatus::Serving
+                && matches!(&m.role, Role::Agent(name) if name == service)
+        })
+    }
+
+    /// Returns the balancers that take new work.
+    pub fn serving_balancers(&self) -> impl Iterator<Item = &Member> {
+        self.members
+            .iter()
+            .filter(|m| m.status == MemberStatus::Serving && m.role == Role::Balancer)
+    }
+
+    /// Returns the record of a process.
+    #[must_use]
+    pub fn member(&self, process: ProcessId) -> Option<&Member> {
+        self.members.iter().find(|m| m.process == process)
+    }
+}
--- /dev/null
+++ b/crates/dillmill-platform/src/ring_store.rs
@@ -0,0 +1,65 @@
+//! The rings of the services in the platform.
+
+use dillmill_core::ServiceName;
+use dillmill_core::claims::Ring;
+use error_stack::{Report, ResultExt};
+
+use crate::{CasOutcome, Platform, PlatformError, Version};
+
+/// Reads and changes the ring of one service.
+#[derive(Debug, Clone)]
+pub struct RingStore {
+    platform: Platform,
+    key: String,
+}
+
+impl RingStore {
+    /// Creates a store for the ring of `service`.
+    #[must_use]
+    pub fn new(platform: Platform, service: &ServiceName) -> Self {
+        Self { platform, key: format!("rings/{service}") }
+    }
+
+    /// Reads the ring; one that was never written is empty, with epoch 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does, or the entry is no ring.
+    pub async fn get(&self) -> Result<(Ring, Version), Report<PlatformError>> {
+        match self.platform.get(&self.key).await? {
+            None => Ok((Ring::default(), Version(0))),
+            Some(entry) => Ok((self.decode(&entry.value)?, entry.version)),
+        }
+    }
+
+    /// Changes the ring; `change` returns `None` when there is nothing to change.
+    ///
+    /// Returns the ring that is then in the platform, and whether this call changed it. Another
+    /// writer may have been faster; then nothing is changed and the caller tries again.
+    ///
+    /// # Errors
+    ///
+    /// As [`RingStore::get`]; the write may or may not have taken effect.
+    pub async fn change(
+        &self,
+        change: impl FnOnce(&Ring) -> Option<Ring>,
+    ) -> Result<(Ring, bool), Report<PlatformError>> {
+        let (ring, version) = self.get().await?;
+        let Some(next) = change(&ring) else { return Ok((ring, false)) };
+        let value = serde_json::to_string(&next)
+            .change_context_lazy(|| self.error("encode ring", "no JSON"))?;
+        match self.platform.put(&self.key, &value, version).await? {
+            CasOutcome::Written(_) => Ok((next, true)),
+            CasOutcome::Conflict(Some(entry)) => Ok((self.decode(&entry.value)?, false)),
+            CasOutcome::Conflict(None) => Ok((Ring::default(), false)),
+        }
+    }
+
+    fn decode(&self, value: &str) -> Result<Ring, Report<PlatformError>> {
+        serde_json::from_str(value).change_context_lazy(|| self.error("decode ring", "no ring"))
+    }
+
+    fn error(&self, step: &'static str, what: &str) -> PlatformError {
+        PlatformError { step, peer: self.platform.base().to_owned(), what: what.to_owned() }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages between the processes of dillmill.
+//!
+//! Control messages are `postcard` with an HMAC-SHA-256 tag under the installation's key, so that
+//! a stranger who can send to a control address can't change the view of a process. Packets of
+//! flows travel between balancers and agents behind a short [`Frame`]; QUIC protects their content.
+
+pub mod frame;
+pub mod message;
+pub mod packet;
+pub mod seal;
+pub mod stream;
+
+pub use frame::{Frame, FrameError};
+pub use message::{Ask, Message, Reply};
+pub use packet::{Destination, packet_destination};
+pub use seal::{ClusterKey, ClusterKeyError, SealError};
+pub use stream::{HandedRequest, ProcessStatus, StreamMessage};
