feat(standins): run a request end to end over separate processes

Platform, fabric, target and HTTP/3 caller stand in for the outside systems; `dillmill-standins demo` starts them with 3 balancers and 4 agents as processes on loopback.

--- /dev/null
+++ b/crates/dillmill-standins/src/caller.rs
@@ -0,0 +1,234 @@
+//! A caller that speaks HTTP/3.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use compio::net::UdpSocket;
+use compio::quic::crypto::rustls::QuicClientConfig;
+use compio::quic::{ClientConfig, Endpoint, TransportConfig};
+use futures_util::future::poll_fn;
+use http::{Method, Request};
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+
+use crate::StandinError;
+
+const SERVER_NAME: &str = "localhost";
+const IDLE: Duration = Duration::from_secs(20);
+
+type SendRequest = h3::client::SendRequest<compio::quic::h3::OpenStreams, Bytes>;
+type RequestStream = h3::client::RequestStream<compio::quic::h3::BidiStream<Bytes>, Bytes>;
+
+/// A whole answer, or the part of one that came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// The header `dillmill-outcome`.
+    pub outcome: Option<String>,
+    /// The header `retry-after`, in seconds.
+    pub retry_after: Option<u64>,
+    /// The body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns the value of `name=` in the body.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.body.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+    }
+}
+
+/// What a caller asks.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// Path and query.
+    pub path: String,
+    /// Bearer token.
+    pub token: String,
+    /// Idempotency key; makes it a POST.
+    pub key: Option<String>,
+    /// Deadline in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Body; makes it a POST.
+    pub body: Vec<u8>,
+}
+
+impl Call {
+    /// Creates a GET of `path` with a bearer token.
+    #[must_use]
+    pub fn new(path: impl Into<String>, token: impl Into<String>) -> Self {
+        Self { path: path.into(), token: token.into(), ..Self::default() }
+    }
+
+    /// Adds an idempotency key.
+    #[must_use]
+    pub fn key(mut self, key: impl Into<String>) -> Self {
+        self.key = Some(key.into());
+        self
+    }
+
+    /// Adds a deadline.
+    #[must_use]
+    pub fn deadline(mut self, ms: u64) -> Self {
+        self.deadline_ms = Some(ms);
+        self
+    }
+
+    /// Adds a body.
+    #[must_use]
+    pub fn body(mut self, body: Vec<u8>) -> Self {
+        self.body = body;
+        self
+    }
+}
+
+/// One flow of a caller.
+pub struct Caller {
+    send: SendRequest,
+    _endpoint: Endpoint,
+}
+
+/// An open long feed.
+pub struct Feed {
+    stream: RequestStream,
+    rest: String,
+}
+
+impl Caller {
+    /// Opens a flow to `service`, trusting `certificate` (PEM).
+    ///
+    /// # Errors
+    ///
+    /// Fails when no flow can be opened.
+    pub async fn connect(service: SocketAddr, certificate: &str) -> Result<Self, StandinError> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.map_err(StandinError::at("bind"))?;
+        let mut endpoint =
+            Endpoint::new(socket, compio::quic::EndpointConfig::default(), None, None)
+                .map_err(StandinError::at("open endpoint"))?;
+        endpoint.default_client_config = Some(client_config(certificate)?);
+        let connection = endpoint
+            .connect(service, SERVER_NAME, None)
+            .map_err(StandinError::at("connect"))?
+            .await
+            .map_err(StandinError::at("handshake"))?;
+        let (mut driver, send) = compio::quic::h3::client::new(connection)
+            .await
+            .map_err(StandinError::at("open HTTP/3"))?;
+        compio::runtime::spawn(async move {
+            let _ = poll_fn(|cx| driver.poll_close(cx)).await;
+        })
+        .detach();
+        Ok(Self { send, _endpoint: endpoint })
+    }
+
+    async fn open(&mut self, call: &Call) -> Result<RequestStream, StandinError> {
+        let is_post = call.key.is_some() || !call.body.is_empty();
+        let method = if is_post { Method::POST } else { Method::GET };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("https://{SERVER_NAME}{}", call.path))
+            .header("authorization", format!("Bearer {}", call.token));
+        if let Some(key) = &call.key {
+            request = request.header("idempotency-key", key);
+        }
+        if let Some(ms) = call.deadline_ms {
+            request = request.header("dillmill-deadline-ms", ms);
+        }
+        let request = request.body(()).map_err(StandinError::at("build request"))?;
+        let mut stream =
+            self.send.send_request(request).await.map_err(StandinError::at("send request"))?;
+        if !call.body.is_empty() {
+            stream
+                .send_data(Bytes::from(call.body.clone()))
+                .await
+                .map_err(StandinError::at("send body"))?;
+        }
+        stream.finish().await.map_err(StandinError::at("end request"))?;
+        Ok(stream)
+    }
+
+    /// Makes a call and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the flow or the answer breaks off.
+    pub async fn call(&mut self, call: &Call) -> Result<Answer, StandinError> {
+        let mut stream = self.open(call).await?;
+        let head = stream.recv_response().await.map_err(StandinError::at("receive answer"))?;
+        let header = |name| head.headers().get(name).and_then(|v| v.to_str().ok());
+        let outcome = header("dillmill-outcome").map(str::to_owned);
+        let retry_after = header("retry-after").and_then(|v| v.parse().ok());
+        let mut body = Vec::new();
+        while let Some(mut part) =
+            stream.recv_data().await.map_err(StandinError::at("receive body"))?
+        {
+            body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+        }
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Ok(Answer { status: head.status().as_u16(), outcome, retry_after, body })
+    }
+
+    /// Opens a long feed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the flow breaks off or the answer is not 200.
+    pub async fn feed(&mut self, call: &Call) -> Result<Feed, StandinError> {
+        let mut stream = self.open(call).await?;
+        let head = stream.recv_response().await.map_err(StandinError::at("receive feed"))?;
+        if head.status().as_u16() != 200 {
+            return Err(StandinError::new("receive feed", head.status()));
+        }
+        Ok(Feed { stream, rest: String::new() })
+    }
+}
+
+impl Feed {
+    /// Returns the next line, or `None` at the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the feed breaks off.
+    pub async fn next(&mut self) -> Result<Option<String>, StandinError> {
+        loop {
+            if let Some(end) = self.rest.find('\n') {
+                let line = self.rest[..end].to_owned();
+                self.rest.drain(..=end);
+                return Ok(Some(line));
+            }
+            let part = self.stream.recv_data().await.map_err(StandinError::at("receive feed"))?;
+            match part {
+                Some(mut part) => {
+                    let bytes = part.copy_to_bytes(part.remaining());
+                    self.rest.push_str(&String::from_utf8_lossy(&bytes));
+                }
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+fn client_config(certificate: &str) -> Result<ClientConfig, StandinError> {
+    let mut roots = rustls::RootCertStore::empty();
+    let certificate = CertificateDer::from_pem_slice(certificate.as_bytes())
+        .map_err(StandinError::at("read certificate"))?;
+    roots.add(certificate).map_err(StandinError::at("trust certificate"))?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(StandinError::at("configure TLS"))?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = QuicClientConfig::try_from(tls).map_err(StandinError::at("configure QUIC"))?;
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    let mut transport = TransportConfig::default();
+    let idle = IDLE.try_into().map_err(StandinError::at("configure QUIC"))?;
+    transport.max_idle_timeout(Some(idle));
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
--- /dev/null
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -0,0 +1,673 @@
+//! dillmill and its surroundings as processes on loopback.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use cyper::Client;
+use dillmill_settings::TokenHash;
+use dillmill_wire::ProcessStatus;
+use rand::Rng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+
+use crate::fabric::FabricRules;
+use crate::platform::{PlatformCounts, PlatformFaults};
+use crate::process::{Process, program};
+use crate::target::{TargetCounts, TargetRules};
+use crate::{Caller, StandinError};
+
+const CLUSTER_KEY: &str = "6b6579206f6620746865206c6f6f706261636b20696e7374616c6c6174696f6e";
+const FLOW_KEY: &str = "2b7e151628aed2a6abf7158809cf4f3c";
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(25);
+
+/// A service of a cluster.
+#[derive(Debug, Clone)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: String,
+    /// Targets, each with an agent.
+    pub targets: usize,
+    /// Slots of each target.
+    pub slots: usize,
+    /// Further lines of the service's node.
+    pub extra: String,
+}
+
+impl ServiceSpec {
+    /// Creates a service.
+    #[must_use]
+    pub fn new(name: &str, targets: usize, slots: usize) -> Self {
+        Self { name: name.to_owned(), targets, slots, extra: String::new() }
+    }
+
+    /// Adds lines to the service's node.
+    #[must_use]
+    pub fn extra(mut self, lines: &str) -> Self {
+        lines.clone_into(&mut self.extra);
+        self
+    }
+}
+
+/// What a cluster consists of.
+#[derive(Debug, Clone)]
+pub struct ClusterSpec {
+    /// Balancers.
+    pub balancers: usize,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// Groups with their weights; the token of group `g` is `token-g`.
+    pub groups: Vec<(String, u16)>,
+    /// Further lines of the root node.
+    pub root_extra: String,
+    /// Seed of the fabric's choices.
+    pub seed: u64,
+    /// Least level that processes log.
+    pub log: String,
+}
+
+impl Default for ClusterSpec {
+    fn default() -> Self {
+        Self {
+            balancers: 3,
+            services: vec![ServiceSpec::new("cotiza", 2, 5), ServiceSpec::new("cuadre", 2, 5)],
+            groups: vec![("tellers".to_owned(), 10), ("screens".to_owned(), 10)],
+            root_extra: String::new(),
+            seed: 1,
+            log: "info".to_owned(),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Service {
+    name: String,
+    address: SocketAddr,
+}
+
+#[derive(Debug, Clone)]
+struct Launch {
+    program: PathBuf,
+    args: Vec<String>,
+    admin: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+}
+
+/// A running cluster; all of its processes end when it is dropped.
+pub struct Cluster {
+    dir: TempDir,
+    spec: ClusterSpec,
+    client: Client,
+    subnet: (u8, u8),
+    next_host: u8,
+    certificate: String,
+    platform: SocketAddr,
+    fabric: SocketAddr,
+    services: Vec<Service>,
+    launches: BTreeMap<String, Launch>,
+    processes: BTreeMap<String, Process>,
+    targets: HashMap<String, SocketAddr>,
+    bind_ips: BTreeMap<String, IpAddr>,
+    rules: FabricRules,
+}
+
+/// Output of `dillmillctl`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CtlOutput {
+    /// Exit code.
+    pub code: i32,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+/// Returns a port that is free on `ip` for TCP and UDP.
+fn free_port(ip: IpAddr) -> Result<u16, StandinError> {
+    for _ in 0..100 {
+        let tcp = TcpListener::bind((ip, 0)).map_err(StandinError::at("find a port"))?;
+        let port = tcp.local_addr().map_err(StandinError::at("find a port"))?.port();
+        if UdpSocket::bind((ip, port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    Err(StandinError::new("find a port", "none is free"))
+}
+
+fn certificate() -> Result<(String, String), StandinError> {
+    let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()])
+        .map_err(StandinError::at("make certificate"))?;
+    Ok((made.cert.pem(), made.signing_key.serialize_pem()))
+}
+
+fn indent(text: &str, by: usize) -> String {
+    let pad = " ".repeat(by);
+    text.lines().fold(String::new(), |mut out, line| {
+        let _ = writeln!(out, "{pad}{line}");
+        out
+    })
+}
+
+impl Cluster {
+    /// Starts all processes, writes the settings and waits until everything serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process can't be started or is not ready within 30 s.
+    pub async fn start(spec: ClusterSpec) -> Result<Self, StandinError> {
+        let mut cluster = Self::start_surroundings(spec)?;
+        cluster.wait_platform().await?;
+        cluster.write_settings()?;
+        for i in 1..=cluster.spec.balancers {
+            cluster.start_balancer(&format!("b{i}"))?;
+        }
+        for service in cluster.spec.services.clone() {
+            for i in 1..=service.targets {
+                cluster.start_pair(&service, i)?;
+            }
+        }
+        cluster.wait_ready().await?;
+        cluster.use_all_balancers().await?;
+        Ok(cluster)
+    }
+
+    /// Starts the platform and the fabric.
+    fn start_surroundings(spec: ClusterSpec) -> Result<Self, StandinError> {
+        let dir = tempfile::tempdir().map_err(StandinError::at("make a folder"))?;
+        let mut rng = rand::rng();
+        let subnet = (rng.random_range(16..=250), rng.random_range(1..=250));
+        let ip = IpAddr::V4(Ipv4Addr::new(127, subnet.0, subnet.1, 1));
+        let client = Client::new().map_err(StandinError::at("make a client"))?;
+        let platform = SocketAddr::new(ip, free_port(ip)?);
+        let fabric = SocketAddr::new(ip, free_port(ip)?);
+        let services = spec
+            .services
+            .iter()
+            .map(|service| {
+                let address = SocketAddr::new(ip, free_port(ip)?);
+                Ok(Service { name: service.name.clone(), address })
+            })
+            .collect::<Result<Vec<_>, StandinError>>()?;
+        let mut cluster = Self {
+            dir,
+            client,
+            subnet,
+            next_host: 2,
+            certificate: String::new(),
+            platform,
+            fabric,
+            services,
+            launches: BTreeMap::new(),
+            processes: BTreeMap::new(),
+            targets: HashMap::new(),
+            bind_ips: BTreeMap::new(),
+            rules: FabricRules::default(),
+            spec,
+        };
+        cluster.launch_standin("platform", vec!["--listen".into(), platform.to_string()])?;
+        let mut args = vec!["--listen".to_owned(), fabric.to_string()];
+        for service in &cluster.services {
+            args.extend(["--service".to_owned(), service.address.to_string()]);
+        }
+        args.extend(["--seed".to_owned(), cluster.spec.seed.to_string()]);
+        cluster.launch_standin("fabric", args)?;
+        Ok(cluster)
+    }
+
+    fn launch_standin(&mut self, name: &str, args: Vec<String>) -> Result<(), StandinError> {
+        let kind = if name == "platform" || name == "fabric" { name } else { "target" };
+        let mut all = vec![kind.to_owned()];
+        all.extend(args);
+        let program = program("dillmill-standins")?;
+        self.launch(name, Launch { program, args: all, admin: None, control: None })
+    }
+
+    fn launch(&mut self, name: &str, launch: Launch) -> Result<(), StandinError> {
+        let process = Process::spawn(name, &launch.program, &launch.args, self.dir.path())?;
+        self.launches.insert(name.to_owned(), launch);
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    fn next_ip(&mut self) -> IpAddr {
+        let ip = Ipv4Addr::new(127, self.subnet.0, self.subnet.1, self.next_host);
+        self.next_host += 1;
+        IpAddr::V4(ip)
+    }
+
+    async fn wait_platform(&self) -> Result<(), StandinError> {
+        let started = Instant::now();
+        loop {
+            match self.platform_counts().await {
+                Ok(_) => return Ok(()),
+                Err(e) if started.elapsed() > READY_LIMIT => return Err(e),
+                Err(_) => compio::time::sleep(POLL).await,
+            }
+        }
+    }
+
+    fn write_settings(&mut self) -> Result<(), StandinError> {
+        let (certificate, key) = certificate()?;
+        let peers: Vec<String> = Vec::new();
+        self.write_ctl_config(&peers)?;
+        let root = format!(
+            "flow_keys:\n  - {{ id: 1, secret: \"{FLOW_KEY}\" }}\n{}",
+            self.spec.root_extra
+        );
+        self.set("root", &root)?;
+        for (i, service) in self.spec.services.clone().iter().enumerate() {
+            let text = format!(
+                "number: {}\naddress: {}\nslots: {}\nfeeds: [/feed]\ntls:\n  certificate: |\n{}  key: |\n{}{}",
+                i + 1,
+                self.services[i].address,
+                service.slots,
+                indent(&certificate, 4),
+                indent(&key, 4),
+                service.extra,
+            );
+            self.set(&format!("services/{}", service.name), &text)?;
+        }
+        for (group, weight) in self.spec.groups.clone() {
+            let token = TokenHash::of(&format!("token-{group}"));
+            let text = format!("tokens: [\"{token}\"]\nlimits: {{ weight: {weight} }}\n");
+            self.set(&format!("groups/{group}"), &text)?;
+        }
+        self.certificate = certificate;
+        Ok(())
+    }
+
+    fn write_ctl_config(&self, peers: &[String]) -> Result<(), StandinError> {
+        let text = format!(
+            "platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nauthor: test\n",
+            self.platform,
+            peers.join(", "),
+        );
+        std::fs::write(self.ctl_config(), text).map_err(StandinError::at("write settings"))
+    }
+
+    fn ctl_config(&self) -> PathBuf {
+        self.dir.path().join("dillmillctl.yaml")
+    }
+
+    /// Writes a node and returns what `dillmillctl` said.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the edit is not accepted.
+    pub fn set(&self, path: &str, text: &str) -> Result<String, StandinError> {
+        let file = self.dir.path().join("node.yaml");
+        std::fs::write(&file, text).map_err(StandinError::at("write node"))?;
+        let output = self.ctl(&["set", path, &file.display().to_string()])?;
+        if output.code == 0 { Ok(output.out) } else { Err(StandinError::new("set", output.err)) }
+    }
+
+    /// Runs `dillmillctl` to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn ctl(&self, args: &[&str]) -> Result<CtlOutput, StandinError> {
+        let output = Command::new(program("dillmillctl")?)
+            .args(args)
+            .arg("--config")
+            .arg(self.ctl_config())
+            .stdin(Stdio::null())
+            .output()
+            .map_err(StandinError::at("run dillmillctl"))?;
+        Ok(CtlOutput {
+            code: output.status.code().unwrap_or(-1),
+            out: String::from_utf8_lossy(&output.stdout).into_owned(),
+            err: String::from_utf8_lossy(&output.stderr).into_owned(),
+        })
+    }
+
+    fn peers(&self) -> Vec<String> {
+        let controls = self.launches.values().filter_map(|launch| launch.control);
+        controls.map(|addr| addr.to_string()).collect()
+    }
+
+    fn start_dillmill(
+        &mut self,
+        name: &str,
+        role: &str,
+        section: &str,
+        ip: IpAddr,
+    ) -> Result<(), StandinError> {
+        let control = SocketAddr::new(ip, free_port(ip)?);
+        let data = SocketAddr::new(ip, free_port(ip)?);
+        let admin = SocketAddr::new(ip, free_port(ip)?);
+        let text = format!(
+            "vm: {name}\nzone: zone-1\ncontrol: {control}\ndata: {data}\nadmin: {admin}\n\
+             platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nlog: {}\n{section}",
+            self.platform,
+            self.peers().join(", "),
+            self.spec.log,
+        );
+        let file = self.dir.path().join(format!("{name}.yaml"));
+        std::fs::write(&file, text).map_err(StandinError::at("write settings"))?;
+        let args = vec![role.to_owned(), "--config".to_owned(), file.display().to_string()];
+        let program = program("dillmill")?;
+        let launch = Launch { program, args, admin: Some(admin), control: Some(control) };
+        self.launch(name, launch)?;
+        self.write_ctl_config(&self.peers())
+    }
+
+    /// Starts one more balancer; the fabric uses it after [`Cluster::use_balancers`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn start_balancer(&mut self, name: &str) -> Result<(), StandinError> {
+        let ip = self.next_ip();
+        self.bind_ips.insert(name.to_owned(), ip);
+        self.start_dillmill(name, "balancer", &format!("balancer: {{ bind: {ip} }}\n"), ip)
+    }
+
+    /// Starts target `i` of a service and its agent: `S-ti` and `S-ai`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one can't be started.
+    pub fn start_pair(&mut self, service: &ServiceSpec, i: usize) -> Result<(), StandinError> {
+        let name = format!("{}-t{i}", service.name);
+        let ip = self.next_ip();
+        let target = SocketAddr::new(ip, free_port(ip)?);
+        let words = ["--listen", "--service", "--name", "--slots"];
+        let values =
+            [target.to_string(), service.name.clone(), name.clone(), service.slots.to_string()];
+        let args = words.iter().map(|w| (*w).to_owned()).zip(values).flat_map(|(w, v)| [w, v]);
+        self.launch_standin(&name, args.collect())?;
+        self.targets.insert(name, target);
+        let section = format!("agent: {{ service: {}, target: {target} }}\n", service.name);
+        self.start_dillmill(&format!("{}-a{i}", service.name), "agent", &section, ip)
+    }
+
+    /// Starts a process again, with the settings that it had.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn restart(&mut self, name: &str) -> Result<(), StandinError> {
+        let launch = self.launches.get(name).cloned();
+        let launch = launch.ok_or_else(|| StandinError::new("restart", format!("no {name}")))?;
+        self.processes.remove(name);
+        self.launch(name, launch)
+    }
+
+    /// Returns a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of this name.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, StandinError> {
+        self.processes
+            .get_mut(name)
+            .ok_or_else(|| StandinError::new("find process", format!("no {name}")))
+    }
+
+    /// Forgets a process that has ended, so that nothing waits for it.
+    pub fn forget(&mut self, name: &str) {
+        self.processes.remove(name);
+        self.launches.remove(name);
+        self.bind_ips.remove(name);
+    }
+
+    /// Returns the names of dillmill's processes.
+    #[must_use]
+    pub fn members(&self) -> Vec<String> {
+        let launches = self.launches.iter().filter(|(_, launch)| launch.control.is_some());
+        launches.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns the status that a process gives.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer.
+    pub async fn status(&self, name: &str) -> Result<ProcessStatus, StandinError> {
+        let admin = self
+            .launches
+            .get(name)
+            .and_then(|launch| launch.admin)
+            .ok_or_else(|| StandinError::new("ask status", format!("no {name}")))?;
+        self.get_json(admin, "/status").await
+    }
+
+    /// Returns the value of a metric of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not answer or has no such metric.
+    pub async fn metric(&self, name: &str, metric: &str) -> Result<i64, StandinError> {
+        let admin = self
+            .launches
+            .get(name)
+            .and_then(|launch| launch.admin)
+            .ok_or_else(|| StandinError::new("ask metrics", format!("no {name}")))?;
+        let text = self.get_text(admin, "/metrics").await?;
+        text.lines()
+            .find_map(|line| line.strip_prefix(metric)?.strip_prefix(' ')?.parse().ok())
+            .ok_or_else(|| StandinError::new("ask metrics", format!("{name} has no {metric}")))
+    }
+
+    async fn get_text(&self, addr: SocketAddr, path: &str) -> Result<String, StandinError> {
+        let step = format!("get http://{addr}{path}");
+        let call = async {
+            let url = format!("http://{addr}{path}");
+            self.client.get(url)?.send().await?.text().await
+        };
+        compio::time::timeout(Duration::from_secs(2), call)
+            .await
+            .map_err(StandinError::at(step.clone()))?
+            .map_err(StandinError::at(step))
+    }
+
+    async fn get_json<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<T, StandinError> {
+        let text = self.get_text(addr, path).await?;
+        serde_json::from_str(&text).map_err(StandinError::at(format!("read {path}: {text}")))
+    }
+
+    async fn put_json<T: Serialize>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &T,
+    ) -> Result<(), StandinError> {
+        let step = format!("put http://{addr}{path}");
+        let call = async {
+            let url = format!("http://{addr}{path}");
+            self.client.put(url)?.json(value)?.send().await
+        };
+        let answer = call.await.map_err(StandinError::at(step.clone()))?;
+        if answer.status().is_success() {
+            return Ok(());
+        }
+        Err(StandinError::new(step, answer.status()))
+    }
+
+    /// Waits until every process serves, knows all others and has the newest settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than 30 s.
+    pub async fn wait_ready(&self) -> Result<(), StandinError> {
+        let started = Instant::now();
+        loop {
+            let lacking = self.not_ready().await;
+            if lacking.is_empty() {
+                return Ok(());
+            }
+            if started.elapsed() > READY_LIMIT {
+                let logs = self.processes.values().fold(String::new(), |mut out, p| {
+                    let _ = writeln!(out, "--- {}\n{}", p.name(), tail(&p.log()));
+                    out
+                });
+                return Err(StandinError::new("wait", format!("{}\n{logs}", lacking.join("; "))));
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn not_ready(&self) -> Vec<String> {
+        let members = self.members();
+        let all = u64::try_from(members.len()).unwrap_or(u64::MAX);
+        let mut lacking = Vec::new();
+        let mut revisions = Vec::new();
+        for name in members {
+            match self.status(&name).await {
+                Ok(status) if status.serving != all => {
+                    lacking.push(format!("{name} knows {} of {all} serving", status.serving));
+                }
+                Ok(status) => revisions.push(status.revision),
+                Err(e) => lacking.push(e.to_string()),
+            }
+        }
+        revisions.dedup();
+        if revisions.len() > 1 {
+            lacking.push(format!("revisions differ: {revisions:?}"));
+        }
+        lacking
+    }
+
+    /// Lets the fabric use all balancers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fabric does not answer.
+    pub async fn use_all_balancers(&mut self) -> Result<(), StandinError> {
+        let all: Vec<String> = self.bind_ips.keys().cloned().collect();
+        let names: Vec<&str> = all.iter().map(String::as_str).collect();
+        self.use_balancers(&names).await
+    }
+
+    /// Lets the fabric use these balancers only.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fabric does not answer.
+    pub async fn use_balancers(&mut self, names: &[&str]) -> Result<(), StandinError> {
+        let ips: Vec<IpAddr> =
+            names.iter().filter_map(|n| self.bind_ips.get(*n)).copied().collect();
+        self.rules.balancers = self
+            .services
+            .iter()
+            .map(|service| {
+                let port = service.address.port();
+                (service.address, ips.iter().map(|ip| SocketAddr::new(*ip, port)).collect())
+            })
+            .collect();
+        self.put_json(self.fabric, "/standin/rules", &self.rules).await
+    }
+
+    /// Changes what the fabric does with packets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fabric does not answer.
+    pub async fn fabric_rules(
+        &mut self,
+        change: impl FnOnce(&mut FabricRules),
+    ) -> Result<(), StandinError> {
+        change(&mut self.rules);
+        self.put_json(self.fabric, "/standin/rules", &self.rules).await
+    }
+
+    /// Sets the platform's faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn platform_faults(&self, faults: &PlatformFaults) -> Result<(), StandinError> {
+        self.put_json(self.platform, "/standin/faults", faults).await
+    }
+
+    /// Returns the calls that the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn platform_counts(&self) -> Result<PlatformCounts, StandinError> {
+        self.get_json(self.platform, "/standin/counts").await
+    }
+
+    fn target(&self, name: &str) -> Result<SocketAddr, StandinError> {
+        let found = self.targets.get(name).copied();
+        found.ok_or_else(|| StandinError::new("find target", format!("no {name}")))
+    }
+
+    /// Returns what a target has done.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target does not answer.
+    pub async fn target_counts(&self, name: &str) -> Result<TargetCounts, StandinError> {
+        self.get_json(self.target(name)?, "/standin/counts").await
+    }
+
+    /// Returns the names of the targets, in order.
+    #[must_use]
+    pub fn target_names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.targets.keys().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// Sets how a target behaves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target does not answer.
+    pub async fn target_rules(&self, name: &str, rules: &TargetRules) -> Result<(), StandinError> {
+        self.put_json(self.target(name)?, "/standin/rules", rules).await
+    }
+
+    /// Opens a flow of a caller to a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no flow can be opened.
+    pub async fn caller(&self, service: &str) -> Result<Caller, StandinError> {
+        Caller::connect(self.service_address(service)?, &self.certificate).await
+    }
+
+    /// Returns the certificate that callers trust.
+    #[must_use]
+    pub fn certificate(&self) -> &str {
+        &self.certificate
+    }
+
+    /// Returns the address of a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such service.
+    pub fn service_address(&self, service: &str) -> Result<SocketAddr, StandinError> {
+        let found = self.services.iter().find(|s| s.name == service);
+        found
+            .map(|s| s.address)
+            .ok_or_else(|| StandinError::new("find service", format!("no {service}")))
+    }
+
+    /// Returns what a process has printed and logged.
+    #[must_use]
+    pub fn log(&self, name: &str) -> String {
+        self.processes.get(name).map(Process::log).unwrap_or_default()
+    }
+}
+
+fn tail(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(5)..].iter().fold(String::new(), |mut out, line| {
+        let _ = writeln!(out, "{line}");
+        out
+    })
+}
--- /dev/null
+++ b/crates/dillmill-standins/src/fabric.rs
@@ -0,0 +1,169 @@
+//! The fabric: hands each packet of a caller to any balancer, and answers back to the caller.
+//!
+//! On loopback a service's address belongs to the fabric. For each caller it opens one socket, so
+//! that a balancer sees that socket as the caller; what any balancer sends there goes to the caller
+//! from the service's address.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::routing::get;
+use axum::{Json, Router};
+use compio::buf::BufResult;
+use compio::net::UdpSocket;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::{StandinError, serve};
+
+const MAX_DATAGRAM: usize = 64 * 1024;
+
+/// What the fabric does with packets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FabricRules {
+    /// The balancers' addresses for each service address.
+    pub balancers: HashMap<SocketAddr, Vec<SocketAddr>>,
+    /// Packets lost, in thousandths.
+    pub lose_permille: u32,
+    /// Packets delivered twice, in thousandths.
+    pub double_permille: u32,
+    /// Packets held back so that later ones overtake them, in thousandths.
+    pub cross_permille: u32,
+    /// Delay of each packet in each direction, in milliseconds.
+    pub delay_ms: u64,
+}
+
+struct Fabric {
+    rules: FabricRules,
+    rng: SmallRng,
+    packets: HashMap<SocketAddr, u64>,
+}
+
+type Shared = Arc<Mutex<Fabric>>;
+
+fn lock(fabric: &Shared) -> MutexGuard<'_, Fabric> {
+    fabric.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How many copies of a packet are sent and how long each is held back.
+fn copies(fabric: &mut Fabric) -> Vec<Duration> {
+    let Fabric { rules, rng, .. } = fabric;
+    let mut happens = |permille: u32| permille > 0 && rng.random_range(0..1000) < permille;
+    if happens(rules.lose_permille) {
+        return Vec::new();
+    }
+    let n = if happens(rules.double_permille) { 2 } else { 1 };
+    let crossed = if happens(rules.cross_permille) { 15 } else { 0 };
+    vec![Duration::from_millis(rules.delay_ms + crossed); n]
+}
+
+/// Serves the given service addresses, and its rules over HTTP on `control`, until the process ends.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound.
+pub async fn run(
+    control: SocketAddr,
+    services: Vec<SocketAddr>,
+    seed: u64,
+) -> Result<(), StandinError> {
+    let fabric: Shared = Arc::new(Mutex::new(Fabric {
+        rules: FabricRules::default(),
+        rng: SmallRng::seed_from_u64(seed),
+        packets: HashMap::new(),
+    }));
+    for service in services {
+        let socket =
+            UdpSocket::bind(service).await.map_err(StandinError::at(format!("bind {service}")))?;
+        compio::runtime::spawn(from_callers(service, socket, fabric.clone())).detach();
+    }
+    let router = Router::new()
+        .route("/standin/rules", get(rules).put(set_rules))
+        .route("/standin/packets", get(packets))
+        .with_state(fabric);
+    serve::forever(control, router).await
+}
+
+async fn rules(State(fabric): State<Shared>) -> Json<FabricRules> {
+    Json(lock(&fabric).rules.clone())
+}
+
+async fn set_rules(State(fabric): State<Shared>, Json(rules): Json<FabricRules>) {
+    lock(&fabric).rules = rules;
+}
+
+async fn packets(State(fabric): State<Shared>) -> Json<HashMap<SocketAddr, u64>> {
+    Json(lock(&fabric).packets.clone())
+}
+
+async fn from_callers(service: SocketAddr, socket: UdpSocket, fabric: Shared) {
+    let mut callers: HashMap<SocketAddr, UdpSocket> = HashMap::new();
+    let mut buf = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        buf.clear();
+        let BufResult(outcome, filled) = socket.recv_from(buf).await;
+        buf = filled;
+        let Ok((n, caller)) = outcome else { continue };
+        let own = match callers.entry(caller) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                let local = SocketAddr::new(service.ip(), 0);
+                let Ok(own) = UdpSocket::bind(local).await else { continue };
+                let back = to_caller(caller, own.clone(), socket.clone(), fabric.clone());
+                compio::runtime::spawn(back).detach();
+                new.insert(own)
+            }
+        };
+        let sends: Vec<(Duration, SocketAddr)> = {
+            let mut fabric = lock(&fabric);
+            let balancers = fabric.rules.balancers.get(&service).cloned().unwrap_or_default();
+            if balancers.is_empty() {
+                continue;
+            }
+            let holds = copies(&mut fabric);
+            let mut sends = Vec::with_capacity(holds.len());
+            for hold in holds {
+                let balancer = balancers[fabric.rng.random_range(0..balancers.len())];
+                *fabric.packets.entry(balancer).or_default() += 1;
+                sends.push((hold, balancer));
+            }
+            sends
+        };
+        for (hold, to) in sends {
+            send_held(own, buf[..n].to_vec(), to, hold).await;
+        }
+    }
+}
+
+async fn to_caller(caller: SocketAddr, own: UdpSocket, service: UdpSocket, fabric: Shared) {
+    let mut buf = Vec::with_capacity(MAX_DATAGRAM);
+    loop {
+        buf.clear();
+        let BufResult(outcome, filled) = own.recv_from(buf).await;
+        buf = filled;
+        let Ok((n, _)) = outcome else { continue };
+        let holds = copies(&mut lock(&fabric));
+        for hold in holds {
+            send_held(&service, buf[..n].to_vec(), caller, hold).await;
+        }
+    }
+}
+
+async fn send_held(socket: &UdpSocket, packet: Vec<u8>, to: SocketAddr, hold: Duration) {
+    if hold.is_zero() {
+        let _ = socket.send_to(packet, to).await;
+        return;
+    }
+    let socket = socket.clone();
+    compio::runtime::spawn(async move {
+        compio::time::sleep(hold).await;
+        let _ = socket.send_to(packet, to).await;
+    })
+    .detach();
+}
--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -1,1 +1,20 @@
-//! todo
+//! Stand-ins of the systems that dillmill serves, and tools that run and measure it.
+//!
+//! Not published. [`platform`], [`fabric`], [`target`] and [`caller`] take the place of the
+//! platform, the fabric, the targets and the callers; [`cluster`] runs them and dillmill's own
+//! programs as processes on loopback; [`demo`] and [`load`] use such a cluster.
+
+pub mod caller;
+pub mod cluster;
+pub mod command;
+pub mod demo;
+pub mod error;
+pub mod fabric;
+pub mod platform;
+pub mod process;
+pub mod serve;
+pub mod target;
+
+pub use caller::{Answer, Caller};
+pub use cluster::{Cluster, ClusterSpec, ServiceSpec};
+pub use error::StandinError;
--- /dev/null
+++ b/crates/dillmill-standins/src/main.rs
@@ -0,0 +1,17 @@
+//! Runs the stand-ins, the demonstration and the load tool.
+
+use std::process::ExitCode;
+
+use dillmill_standins::command;
+
+#[compio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match Box::pin(command::run(&args)).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("dillmill-standins: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-standins/src/process.rs
@@ -0,0 +1,140 @@
+//! A process that a test or tool has started, and ends.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use crate::StandinError;
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// A started process; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+/// Returns the path of a program of this workspace, beside the running one.
+///
+/// # Errors
+///
+/// Fails when it was not built.
+pub fn program(name: &str) -> Result<PathBuf, StandinError> {
+    let own = std::env::current_exe().map_err(StandinError::at("find programs"))?;
+    let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|p| p.is_file());
+    found.ok_or_else(|| {
+        StandinError::new("find programs", format!("{name} is not built; run `cargo build`"))
+    })
+}
+
+impl Process {
+    /// Starts `program` with its output in a file of `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn spawn(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        dir: &Path,
+    ) -> Result<Self, StandinError> {
+        let log = dir.join(format!("{name}.log"));
+        let step = || format!("start {name}");
+        let out = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .map_err(StandinError::at(step()))?;
+        let err = out.try_clone().map_err(StandinError::at(step()))?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()
+            .map_err(StandinError::at(step()))?;
+        Ok(Self { name: name.to_owned(), child, log })
+    }
+
+    /// Returns the process's name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the process's number.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what it has printed and logged.
+    #[must_use]
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: &str) -> Result<(), StandinError> {
+        let step = format!("send {signal} to {}", self.name);
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), self.child.id().to_string()])
+            .status()
+            .map_err(StandinError::at(step.clone()))?;
+        if status.success() { Ok(()) } else { Err(StandinError::new(step, status)) }
+    }
+
+    /// Freezes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is gone.
+    pub fn freeze(&self) -> Result<(), StandinError> {
+        self.signal("STOP")
+    }
+
+    /// Lets it go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is gone.
+    pub fn thaw(&self) -> Result<(), StandinError> {
+        self.signal("CONT")
+    }
+
+    /// Asks it to stop as planned.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is gone.
+    pub fn terminate(&self) -> Result<(), StandinError> {
+        self.signal("TERM")
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits up to `limit` for its end; returns whether it ended with success.
+    pub async fn wait(&mut self, limit: Duration) -> Option<bool> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            compio::time::sleep(POLL).await;
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/dillmill/src/main.rs
+++ b/crates/dillmill/src/main.rs
@@ -4,6 +4,7 @@
 
 use dillmill::command::{self, Command, RoleCommand};
 use dillmill::{Agent, Balancer, NodeError, ProcessConfig};
+use dillmill_node::config::AgentConfig;
 use dillmill_node::stop;
 use error_stack::Report;
 use futures_util::future::{Either, select};
@@ -31,7 +32,7 @@
         println!("{}: good", path.display());
         return ExitCode::SUCCESS;
     }
-    match run(role, &config).await {
+    match Box::pin(run(role, &config)).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => fail(FAILED, report.current_context()),
     }
@@ -56,26 +57,25 @@
 
 async fn run(role: RoleCommand, config: &ProcessConfig) -> Result<(), Report<NodeError>> {
     match (role, &config.agent) {
-        (RoleCommand::Agent, Some(agent)) => {
-            let agent = Agent::spawn(config, agent);
-            pin_mut!(agent);
-            let stop_early = stop::requested();
-            pin_mut!(stop_early);
-            match select(agent, stop_early).await {
-                Either::Left((agent, stop)) => {
-                    let agent = agent?;
-                    stop.await;
-                    stop_or_second(agent.stop()).await;
-                }
-                Either::Right(_) => {}
-            }
-        }
-        _ => {
+        (RoleCommand::Agent, Some(agent)) => run_agent(config, agent).await,
+        (RoleCommand::Agent, None) | (RoleCommand::Balancer, _) => {
             let balancer = Balancer::spawn(config).await?;
             stop::requested().await;
             stop_or_second(balancer.stop()).await;
+            Ok(())
         }
     }
+}
+
+/// Runs an agent; a stop that is asked for before it has settings ends it at once.
+async fn run_agent(config: &ProcessConfig, agent: &AgentConfig) -> Result<(), Report<NodeError>> {
+    let starting = Box::pin(Agent::spawn(config, agent));
+    let stopping = Box::pin(stop::requested());
+    if let Either::Left((agent, stopping)) = select(starting, stopping).await {
+        let agent = agent?;
+        stopping.await;
+        stop_or_second(Box::pin(agent.stop())).await;
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/dillmillctl/src/error.rs
@@ -0,0 +1,64 @@
+//! Errors of the operator's program and their exit codes.
+
+use dillmill_node::NodeError;
+use dillmill_platform::{PlatformError, WriteError};
+use error_stack::Report;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CtlError {
+    /// The command line is wrong.
+    #[error("{0}\nTry `dillmillctl --help`.")]
+    Usage(String),
+    /// A file or an argument is wrong.
+    #[error("{0}")]
+    Input(String),
+    /// The tree would be wrong; nothing was written.
+    #[error("{0}")]
+    Refused(String),
+    /// Someone else changed the node; nothing was written.
+    #[error("{0}")]
+    Conflict(String),
+    /// The platform or a process failed.
+    #[error("{0}")]
+    Unreachable(String),
+    /// Not every process has the revision yet.
+    #[error("{0}")]
+    Behind(String),
+}
+
+impl CtlError {
+    /// Returns the exit code: see `dillmillctl --help`.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Unreachable(_) => 1,
+            Self::Usage(_) | Self::Input(_) => 2,
+            Self::Refused(_) => 3,
+            Self::Conflict(_) => 4,
+            Self::Behind(_) => 5,
+        }
+    }
+}
+
+impl From<Report<PlatformError>> for CtlError {
+    fn from(report: Report<PlatformError>) -> Self {
+        Self::Unreachable(report.current_context().to_string())
+    }
+}
+
+impl From<NodeError> for CtlError {
+    fn from(e: NodeError) -> Self {
+        Self::Unreachable(e.to_string())
+    }
+}
+
+impl From<Report<WriteError>> for CtlError {
+    fn from(report: Report<WriteError>) -> Self {
+        let text = report.current_context().to_string();
+        match report.current_context() {
+            WriteError::Invalid(_) => Self::Refused(text),
+            WriteError::Conflict { .. } | WriteError::Busy => Self::Conflict(text),
+            WriteError::Platform => Self::Unreachable(format!("{text}: {report:?}")),
+        }
+    }
+}
--- a/crates/dillmillctl/src/main.rs
+++ b/crates/dillmillctl/src/main.rs
@@ -1,1 +1,41 @@
-fn main() {}
+//! `dillmillctl`: the operator's program.
+//!
+//! It edits the tree of settings in the platform and shows what the processes do. It never touches
+//! a balancer or an agent: status and time line are read-only questions.
+
+mod command;
+mod config;
+mod error;
+mod verbs;
+
+use std::process::ExitCode;
+
+use command::{Invocation, Parsed};
+use error::CtlError;
+
+#[compio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let invocation = match command::parse(&args) {
+        Ok(Parsed::Run(invocation)) => invocation,
+        Ok(Parsed::Show(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => return fail(&e),
+    };
+    match Box::pin(run(invocation)).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e),
+    }
+}
+
+async fn run(invocation: Invocation) -> Result<(), CtlError> {
+    let config = config::CtlConfig::open(&invocation.config)?;
+    verbs::run(&config, &invocation).await
+}
+
+fn fail(e: &CtlError) -> ExitCode {
+    eprintln!("dillmillctl: {e}");
+    ExitCode::from(e.exit_code())
+}
--- /dev/null
+++ b/crates/dillmillctl/src/verbs.rs
@@ -0,0 +1,34 @@
+//! What each verb does.
+
+mod processes;
+mod settings;
+
+use serde::Serialize;
+
+use crate::command::{Invocation, Verb};
+use crate::config::CtlConfig;
+use crate::error::CtlError;
+
+pub(crate) async fn run(cfg: &CtlConfig, invocation: &Invocation) -> Result<(), CtlError> {
+    let json = invocation.json;
+    match &invocation.verb {
+        Verb::Check { path, file } => settings::check(cfg, path, file).await,
+        Verb::Get { path } => settings::get(cfg, path.as_ref(), json).await,
+        Verb::Set { path, file, seen } => settings::set(cfg, path, file, *seen).await,
+        Verb::Edit { path, values, seen } => settings::edit(cfg, path, values, *seen).await,
+        Verb::Delete { path, seen } => settings::delete(cfg, path, *seen).await,
+        Verb::Diff { from, to } => settings::diff(cfg, *from, *to).await,
+        Verb::Effective { service, group } => {
+            settings::effective(cfg, service, group.as_ref(), json).await
+        }
+        Verb::History => settings::history(cfg, json).await,
+        Verb::Status { wait } => processes::status(cfg, *wait, json).await,
+        Verb::Timeline { kind } => processes::timeline(cfg, kind.as_deref(), json).await,
+    }
+}
+
+fn print_json<T: Serialize>(value: &T) {
+    if let Ok(text) = serde_json::to_string(value) {
+        println!("{text}");
+    }
+}
