--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod fabric;
 pub mod platform;
 pub mod process;
+pub mod scenario;
 pub mod serve;
 pub mod target;
+pub mod traffic;
 
 pub use caller::{Answer, Caller};
 pub use cluster::{Cluster, ClusterSpec, ServiceSpec};
--- /dev/null
+++ b/crates/dillmill-standins/src/traffic.rs
@@ -0,0 +1,287 @@
+//! Requests and feeds in the background, and what became of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::caller::Call;
+use crate::{Caller, Cluster, StandinError};
+
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+const FLOW_REUSE: u64 = 4;
+
+/// What became of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The whole answer of the right service.
+    Whole,
+    /// Told that it was not run.
+    NotRun,
+    /// Told that nobody knows.
+    Unknown,
+    /// An answer of another service.
+    WrongService,
+    /// Another refusal.
+    Refused(u16),
+    /// No answer, or only part of one.
+    Broken,
+}
+
+/// Counts of verdicts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdicts {
+    /// Whole answers.
+    pub whole: usize,
+    /// Told "not run".
+    pub not_run: usize,
+    /// Told "unknown".
+    pub unknown: usize,
+    /// Answers of another service.
+    pub wrong_service: usize,
+    /// Other refusals by status.
+    pub refused: BTreeMap<u16, usize>,
+    /// No or partial answers.
+    pub broken: usize,
+}
+
+impl Verdicts {
+    /// Counts one more.
+    pub fn add(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::Whole => self.whole += 1,
+            Verdict::NotRun => self.not_run += 1,
+            Verdict::Unknown => self.unknown += 1,
+            Verdict::WrongService => self.wrong_service += 1,
+            Verdict::Refused(status) => *self.refused.entry(status).or_default() += 1,
+            Verdict::Broken => self.broken += 1,
+        }
+    }
+}
+
+impl fmt::Display for Verdicts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} whole", self.whole)?;
+        let rest = [
+            (self.not_run, "not run"),
+            (self.unknown, "unknown"),
+            (self.wrong_service, "of the wrong service"),
+            (self.broken, "broken"),
+        ];
+        for (n, what) in rest {
+            if n > 0 {
+                write!(f, ", {n} {what}")?;
+            }
+        }
+        for (status, n) in &self.refused {
+            write!(f, ", {n} refused with {status}")?;
+        }
+        writeln!(f)
+    }
+}
+
+/// Makes a call on a new flow.
+pub async fn ask(service: SocketAddr, certificate: &str, name: &str, call: &Call) -> Verdict {
+    let work = async {
+        let mut caller = Caller::connect(service, certificate).await.ok()?;
+        Some(ask_on(&mut caller, name, call).await)
+    };
+    compio::time::timeout(CALL_LIMIT, work).await.ok().flatten().unwrap_or(Verdict::Broken)
+}
+
+/// Makes a call on an open flow.
+pub async fn ask_on(caller: &mut Caller, name: &str, call: &Call) -> Verdict {
+    let Ok(answer) = caller.call(call).await else { return Verdict::Broken };
+    match (answer.status, answer.outcome.as_deref()) {
+        (200, _) if answer.field("service") == Some(name) => Verdict::Whole,
+        (200, _) => Verdict::WrongService,
+        (_, Some("not-run")) => Verdict::NotRun,
+        (_, Some("unknown")) => Verdict::Unknown,
+        (status, _) => Verdict::Refused(status),
+    }
+}
+
+/// What a long feed has seen.
+#[derive(Debug, Default)]
+pub struct FeedLog {
+    /// Ticks in order.
+    pub ticks: u64,
+    /// Why it ended, if it did.
+    pub ended: Option<String>,
+}
+
+/// Opens a feed and follows it in the background.
+///
+/// # Errors
+///
+/// Fails when it can't be opened.
+pub async fn feed(cluster: &Cluster, service: &str) -> Result<Rc<RefCell<FeedLog>>, StandinError> {
+    let mut caller = cluster.caller(service).await?;
+    let path = format!("/feed?service={service}&every_ms=20&count=1000000");
+    let mut feed = caller.feed(&Call::new(path, "token-screens")).await?;
+    let log = Rc::new(RefCell::new(FeedLog::default()));
+    let follow = {
+        let (log, service) = (log.clone(), format!("service={service}"));
+        async move {
+            let _flow = caller;
+            loop {
+                let next = feed.next().await;
+                let mut log = log.borrow_mut();
+                let ended = match next {
+                    Ok(Some(line)) => {
+                        let right = line.starts_with(&format!("tick={} ", log.ticks))
+                            && line.contains(&service);
+                        log.ticks += 1;
+                        (!right).then(|| format!("unexpected line {line}"))
+                    }
+                    Ok(None) => Some("end of feed".to_owned()),
+                    Err(e) => Some(e.to_string()),
+                };
+                if ended.is_some() {
+                    log.ended = ended;
+                    return;
+                }
+            }
+        }
+    };
+    compio::runtime::spawn(follow).detach();
+    Ok(log)
+}
+
+/// Returns how often a key ran, over all targets of a service.
+///
+/// # Errors
+///
+/// Fails when a target does not answer.
+pub async fn key_runs(cluster: &Cluster, service: &str, key: &str) -> Result<u64, StandinError> {
+    let mut runs = 0;
+    for target in cluster.target_names() {
+        if target.starts_with(service) {
+            runs += cluster.target_counts(&target).await?.keys.get(key).copied().unwrap_or(0);
+        }
+    }
+    Ok(runs)
+}
+
+/// Requests with keys that are made in the background.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    service: String,
+    verdicts: BTreeMap<String, Verdict>,
+    stop: bool,
+    running: usize,
+}
+
+/// Starts requests with keys at a steady rate, several on each flow.
+///
+/// # Errors
+///
+/// Fails when there is no such service.
+pub fn traffic(
+    cluster: &Cluster,
+    service: &str,
+    every: Duration,
+    ms: u64,
+) -> Result<Rc<RefCell<Traffic>>, StandinError> {
+    let address = cluster.service_address(service)?;
+    let certificate = cluster.certificate().to_owned();
+    let log = Traffic { service: service.to_owned(), ..Traffic::default() };
+    let log = Rc::new(RefCell::new(log));
+    let name = service.to_owned();
+    let source = log.clone();
+    compio::runtime::spawn(async move {
+        for n in 0_u64.. {
+            if source.borrow().stop {
+                return;
+            }
+            source.borrow_mut().running += 1;
+            let one = flow(source.clone(), address, certificate.clone(), name.clone(), n, ms);
+            compio::runtime::spawn(one).detach();
+            compio::time::sleep(every * u32::try_from(FLOW_REUSE).unwrap_or(1)).await;
+        }
+    })
+    .detach();
+    Ok(log)
+}
+
+async fn flow(
+    log: Rc<RefCell<Traffic>>,
+    address: SocketAddr,
+    certificate: String,
+    service: String,
+    n: u64,
+    ms: u64,
+) {
+    let connecting = compio::time::timeout(CALL_LIMIT, Caller::connect(address, &certificate));
+    let mut caller = connecting.await.ok().and_then(Result::ok);
+    for i in 0..FLOW_REUSE {
+        let key = format!("{service}-{n}-{i}");
+        let path = format!("/run?service={service}&ms={ms}");
+        let call = Call::new(path, "token-tellers").key(key.clone());
+        let verdict = match &mut caller {
+            None => Verdict::Broken,
+            Some(caller) => compio::time::timeout(CALL_LIMIT, ask_on(caller, &service, &call))
+                .await
+                .unwrap_or(Verdict::Broken),
+        };
+        log.borrow_mut().verdicts.insert(key, verdict);
+    }
+    log.borrow_mut().running -= 1;
+}
+
+impl Traffic {
+    /// Ends traffic, waits for what is under way, and holds the verdicts against the targets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a target does not answer.
+    pub async fn end(
+        log: &Rc<RefCell<Self>>,
+        cluster: &Cluster,
+        some_refused: bool,
+    ) -> Result<String, StandinError> {
+        log.borrow_mut().stop = true;
+        while log.borrow().running > 0 {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let service = log.borrow().service.clone();
+        let mut runs: BTreeMap<String, u64> = BTreeMap::new();
+        for target in cluster.target_names().iter().filter(|t| t.starts_with(&service)) {
+            for (key, n) in cluster.target_counts(target).await?.keys {
+                *runs.entry(key).or_default() += n;
+            }
+        }
+        let log = log.borrow();
+        let mut sum = Verdicts::default();
+        let (mut doubled, mut false_answers) = (0, 0);
+        for (key, verdict) in &log.verdicts {
+            sum.add(*verdict);
+            let ran = runs.get(key).copied().unwrap_or(0);
+            doubled += u32::from(ran > 1);
+            let is_false = match verdict {
+                Verdict::Whole => ran == 0,
+                Verdict::NotRun => ran > 0,
+                _ => false,
+            };
+            false_answers += u32::from(is_false);
+        }
+        let moved = if sum.whole > 0 { "some" } else { "none" };
+        let refused = if some_refused {
+            String::new()
+        } else {
+            format!(
+                ", {} not run, {} unknown, {} refused",
+                sum.not_run,
+                sum.unknown,
+                sum.refused.len(),
+            )
+        };
+        Ok(format!(
+            "{moved} whole, {} broken, {} of the wrong service{refused}; \
+             {doubled} doubled, {false_answers} false answers\n",
+            sum.broken, sum.wrong_service,
+        ))
+    }
+}
--- /dev/null
+++ b/crates/dillmill-standins/tests/scenarios.rs
@@ -0,0 +1,11 @@
+//! Runs each script of `tests/scenarios` on a cluster of its own.
+
+use std::path::PathBuf;
+
+use dillmill_standins::scenario::ScenarioRunner;
+use rstest::rstest;
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/*")] script: PathBuf) {
+    goldenscript::run(&mut ScenarioRunner::new().unwrap(), script).unwrap();
+}
