--- a/crates/dillmill-agent/src/answer.rs
+++ b/crates/dillmill-agent/src/answer.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use dillmill_node::{Framed, NodeError};
-use dillmill_wire::StreamMessage;
+use dillmill_wire::{KeptAnswer, StreamMessage};
 use h3::error::Code;
 use http::{HeaderValue, Response, StatusCode};
 
@@ -17,22 +17,11 @@
 
 type CallerStream = h3::server::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
-/// A whole answer of a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoredAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers.
-    pub headers: Vec<(String, Vec<u8>)>,
-    /// The whole body.
-    pub body: Vec<u8>,
-}
-
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
     /// The whole answer.
-    Answer(Arc<StoredAnswer>),
+    Answer(Arc<KeptAnswer>),
     /// It was not run, and no earlier try of it was.
     NotRun {
         /// Why.
@@ -74,7 +63,7 @@
         Self::Refused { status, why: why.to_string() }
     }
 
-    fn to_answer(&self) -> StoredAnswer {
+    fn to_answer(&self) -> KeptAnswer {
         match self {
             Self::Answer(answer) => (**answer).clone(),
             Self::NotRun { why, retry_after } => {
@@ -96,7 +85,7 @@
     outcome: Option<&str>,
     retry_after: Option<Duration>,
     why: &str,
-) -> StoredAnswer {
+) -> KeptAnswer {
     let mut headers = vec![("content-type".to_owned(), b"text/plain".to_vec())];
     if let Some(outcome) = outcome {
         headers.push((OUTCOME_HEADER.to_owned(), outcome.as_bytes().to_vec()));
@@ -106,7 +95,7 @@
         headers.push(("retry-after".to_owned(), ms.div_ceil(1000).to_string().into_bytes()));
         headers.push((RETRY_AFTER_MS_HEADER.to_owned(), ms.to_string().into_bytes()));
     }
-    StoredAnswer { status: status.as_u16(), headers, body: format!("{why}\n").into_bytes() }
+    KeptAnswer { status: status.as_u16(), headers, body: format!("{why}\n").into_bytes() }
 }
 
 /// Where an answer goes.
--- a/crates/dillmill-agent/src/chain.rs
+++ b/crates/dillmill-agent/src/chain.rs
@@ -10,10 +10,11 @@
 use dillmill_core::placement::Policy;
 use dillmill_core::scheduler;
 use dillmill_core::{EventKind, Timestamp};
+use dillmill_wire::KeptAnswer;
 use futures_util::future::{Either, FutureExt, LocalBoxFuture, Shared, select};
 use futures_util::{StreamExt, pin_mut};
 
-use crate::answer::{Outcome, Sink, StoredAnswer};
+use crate::answer::{Outcome, Sink};
 use crate::claiming::{self, Acquired};
 use crate::context::AgentContext;
 use crate::desk::Slot;
@@ -307,7 +308,7 @@
     cx: &AgentContext,
     req: &Request,
     now: Timestamp,
-) -> Result<StoredAnswer, TargetError> {
+) -> Result<KeptAnswer, TargetError> {
     let response = cx.target.send(req, now).await?;
     let status = response.status().as_u16();
     let headers = crate::request::end_to_end_headers(response.headers());
@@ -321,7 +322,7 @@
         }
         body.extend_from_slice(&part);
     }
-    Ok(StoredAnswer { status, headers, body })
+    Ok(KeptAnswer { status, headers, body })
 }
 
 /// Makes a [`Closed`] of a future.
--- a/crates/dillmill-agent/src/claiming.rs
+++ b/crates/dillmill-agent/src/claiming.rs
@@ -1,5 +1,8 @@
 //! Messages between agents that settle who may dispatch a key.
 
+use std::time::Duration;
+
+use dillmill_core::MemberStatus;
 use dillmill_core::claims::{
     Claim, ClaimAnswer, ClaimKey, Epoch, Finding, Inquiry, Ring, RingMember,
 };
@@ -10,6 +13,12 @@
 use crate::context::AgentContext;
 
 const MAX_ROUNDS: usize = 6;
+/// Time for a question that the asked agent answers from what it has.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Time for a claim: the authority may have to ask others, twice.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(2500);
+/// Time for an agent that is held for down: it may be back.
+const DOWN_PATIENCE: Duration = Duration::from_millis(120);
 
 /// What came of a claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +35,21 @@
     Unknown(&'static str),
 }
 
+/// Asks an agent of the service; less patiently one that is held for down.
+pub(crate) async fn ask(cx: &AgentContext, to: RingMember, ask: Ask) -> Option<Reply> {
+    let patience = match (&ask, is_down(cx, to)) {
+        (_, true) => DOWN_PATIENCE,
+        (Ask::Claim { .. }, false) => CLAIM_PATIENCE,
+        (_, false) => PATIENCE,
+    };
+    cx.node.ask(to, &cx.service, ask, patience).await.ok()
+}
+
+fn is_down(cx: &AgentContext, agent: RingMember) -> bool {
+    let view = cx.view();
+    view.member(agent.process).is_none_or(|m| m.status == MemberStatus::Down)
+}
+
 /// Claims `key` for this agent.
 pub async fn acquire(cx: &AgentContext, key: ClaimKey) -> Acquired {
     for _ in 0..MAX_ROUNDS {
@@ -62,6 +86,7 @@
                 return Acquired::Unknown("agents that may have run it are lost");
             }
             Some(ClaimAnswer::NotAuthority) => {}
+            None if newer_ring(cx, &ring, authority).await => {}
             None => return Acquired::Unknown("the authority of its key does not answer"),
         }
     }
@@ -74,19 +99,33 @@
     key: ClaimKey,
     epoch: Epoch,
 ) -> Option<ClaimAnswer> {
-    let ask = Ask::Claim { key, epoch, by: cx.me };
-    match cx.node.ask(authority, &cx.service, ask).await {
-        Ok(Reply::Claim(answer)) => Some(answer),
+    match ask(cx, authority, Ask::Claim { key, epoch, by: cx.me }).await {
+        Some(Reply::Claim(answer)) => Some(answer),
         _ => None,
     }
 }
 
+/// Asks the other agents whether there is a newer ring, and adopts it.
+async fn newer_ring(cx: &AgentContext, mine: &Ring, silent: RingMember) -> bool {
+    for member in &mine.members {
+        if member.process == cx.me.process || *member == silent || is_down(cx, *member) {
+            continue;
+        }
+        if let Some(Reply::Ring(theirs)) = ask(cx, *member, Ask::Ring(mine.clone())).await
+            && cx.ledger.adopt(theirs).await
+        {
+            return true;
+        }
+    }
+    false
+}
+
 /// Whichever of two agents is in the older epoch takes the newer ring.
 async fn settle_epoch(cx: &AgentContext, other: RingMember, mine: Ring, theirs: Ring) {
     if theirs.epoch > mine.epoch {
         cx.ledger.adopt(theirs).await;
     } else if other.process != cx.me.process {
-        let _ = cx.node.ask(other, &cx.service, Ask::Ring(mine)).await;
+        let _ = ask(cx, other, Ask::Ring(mine)).await;
     }
 }
 
@@ -102,12 +141,12 @@
     let first = cx.ledger.copy_keeper(key).await;
     let rest = others.into_iter().filter(|m| Some(*m) != first);
     for keeper in first.into_iter().chain(rest) {
-        let ask = Ask::Copy { key, epoch: ring.epoch, holder: cx.me };
-        match cx.node.ask(keeper, &cx.service, ask).await {
-            Ok(Reply::Copied(true)) => return Some(true),
-            Ok(Reply::Copied(false)) => {
-                let answer = cx.node.ask(keeper, &cx.service, Ask::Ring(ring.clone())).await;
-                if let Ok(Reply::Ring(theirs)) = answer {
+        let copy = Ask::Copy { key, epoch: ring.epoch, holder: cx.me };
+        match ask(cx, keeper, copy).await {
+            Some(Reply::Copied(true)) => return Some(true),
+            Some(Reply::Copied(false)) => {
+                let answer = ask(cx, keeper, Ask::Ring(ring.clone())).await;
+                if let Some(Reply::Ring(theirs)) = answer {
                     cx.ledger.adopt(theirs).await;
                 }
                 return Some(false);
@@ -143,16 +182,16 @@
 /// Asks one agent about a key; brings it to our epoch first if it is behind.
 async fn inquire(cx: &AgentContext, agent: RingMember, key: ClaimKey, epoch: Epoch) -> Finding {
     for _ in 0..2 {
-        match cx.node.ask(agent, &cx.service, Ask::Inquire { key, epoch }).await {
-            Ok(Reply::Inquiry(Inquiry::OldEpoch)) => {
+        match ask(cx, agent, Ask::Inquire { key, epoch }).await {
+            Some(Reply::Inquiry(Inquiry::OldEpoch)) => {
                 let (ring, _) = cx.ledger.ring().await;
-                let _ = cx.node.ask(agent, &cx.service, Ask::Ring(ring)).await;
+                let _ = ask(cx, agent, Ask::Ring(ring)).await;
             }
-            Ok(Reply::Inquiry(Inquiry::NewerEpoch(ring))) => {
+            Some(Reply::Inquiry(Inquiry::NewerEpoch(ring))) => {
                 cx.ledger.adopt(ring).await;
                 break;
             }
-            Ok(Reply::Inquiry(answer)) => return Finding { asked: agent, answer: Some(answer) },
+            Some(Reply::Inquiry(answer)) => return Finding { asked: agent, answer: Some(answer) },
             _ => break,
         }
     }
@@ -165,8 +204,7 @@
     if let Some(authority) = cx.ledger.authority(key).await
         && authority.process != cx.me.process
     {
-        let ask = Ask::Release { key, by: cx.me.process };
-        let _ = cx.node.ask(authority, &cx.service, ask).await;
+        let _ = ask(cx, authority, Ask::Release { key, by: cx.me.process }).await;
     }
 }
 
--- a/crates/dillmill-agent/src/connection.rs
+++ b/crates/dillmill-agent/src/connection.rs
@@ -15,6 +15,7 @@
 use crate::context::AgentContext;
 use crate::request::{DEADLINE_HEADER, KEY_HEADER, Request, end_to_end_headers};
 
+const STREAMS_IN_FLIGHT: usize = 256;
 const MAX_KEY_LEN: usize = 256;
 
 /// Takes flows until the endpoint closes; refuses new ones once `leaving` has completed.
@@ -66,9 +67,10 @@
         };
         match next {
             None => {
-                // Callers move in time: requests that are in flight go on (RFC 9114 section 5.2).
+                // Callers move in time: requests that are in flight, also those that we have not seen
+                // yet, go on (RFC 9114 section 5.2).
                 told = true;
-                if let Err(e) = h3.shutdown(0).await {
+                if let Err(e) = h3.shutdown(STREAMS_IN_FLIGHT).await {
                     return e.to_string();
                 }
             }
--- a/crates/dillmill-agent/src/hand_over.rs
+++ b/crates/dillmill-agent/src/hand_over.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use dillmill_core::claims::RingMember;
 use dillmill_node::{Framed, Handed};
-use dillmill_wire::StreamMessage;
+use dillmill_wire::{KeptAnswer, StreamMessage};
 use http::Method;
 
-use crate::answer::{Outcome, Sink, StoredAnswer};
+use crate::answer::{Outcome, Sink};
 use crate::chain;
 use crate::context::AgentContext;
 use crate::request::Request;
@@ -104,7 +104,7 @@
         match framed.receive().await.ok()? {
             StreamMessage::AnswerData(part) => body.extend_from_slice(&part),
             StreamMessage::AnswerEnd => {
-                return Some(Outcome::Answer(Arc::new(StoredAnswer { status, headers, body })));
+                return Some(Outcome::Answer(Arc::new(KeptAnswer { status, headers, body })));
             }
             _ => return None,
         }
--- a/crates/dillmill-agent/src/ledger.rs
+++ b/crates/dillmill-agent/src/ledger.rs
@@ -10,6 +10,7 @@
     RingMember,
 };
 use dillmill_node::Clock;
+use dillmill_wire::KeptAnswer;
 
 use crate::answer::Outcome;
 use crate::metrics::AgentMetrics;
@@ -17,6 +18,8 @@
 const TICK: Duration = Duration::from_secs(1);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 const MAX_KEPT_ANSWER: usize = 64 * 1024;
+/// Longest answer that is passed on with its record, in bytes.
+const MAX_HANDED_ANSWER: usize = 2 * 1024;
 const MAX_KEPT_TOTAL: usize = 16 * 1024 * 1024;
 
 /// What is known here of a key when a request arrives.
@@ -30,6 +33,9 @@
     Ended(Outcome),
 }
 
+/// A record and its answer, as passed between agents.
+pub type Handed = (HandedRecord, Option<KeptAnswer>);
+
 enum Input {
     Enter(ClaimKey, flume::Sender<Entry>),
     Leave(ClaimKey, Outcome),
@@ -45,8 +51,8 @@
     End(ClaimKey, Phase),
     NotRun(ClaimKey),
     Release(ClaimKey, dillmill_core::ProcessId),
-    HandOver(flume::Sender<Vec<(RingMember, Vec<HandedRecord>)>>),
-    TakeOver(Vec<HandedRecord>),
+    HandOver(bool, flume::Sender<Vec<(RingMember, Vec<Handed>)>>),
+    TakeOver(Vec<Handed>),
     Window(Duration),
     Tick,
 }
@@ -168,12 +174,12 @@
     }
 
     /// See [`ClaimLedger::hand_over`].
-    pub async fn hand_over(&self) -> Vec<(RingMember, Vec<HandedRecord>)> {
-        self.call(Input::HandOver, Vec::new()).await
+    pub async fn hand_over(&self, leaving: bool) -> Vec<(RingMember, Vec<Handed>)> {
+        self.call(|tx| Input::HandOver(leaving, tx), Vec::new()).await
     }
 
     /// See [`ClaimLedger::take_over`].
-    pub fn take_over(&self, records: Vec<HandedRecord>) {
+    pub fn take_over(&self, records: Vec<Handed>) {
         let _ = self.tx.send(Input::TakeOver(records));
     }
 
@@ -245,10 +251,10 @@
             Input::End(key, phase) => self.ledger.end(key, phase, now),
             Input::NotRun(key) => self.ledger.not_run(key),
             Input::Release(key, by) => self.ledger.release(key, by),
-            Input::HandOver(tx) => {
-                let _ = tx.send(self.ledger.hand_over().into_iter().collect());
+            Input::HandOver(leaving, tx) => {
+                let _ = tx.send(self.hand_over(leaving));
             }
-            Input::TakeOver(records) => self.ledger.take_over(&records, now),
+            Input::TakeOver(records) => self.take_over(records, now),
             Input::Window(window) => self.ledger.set_window(window),
             Input::Tick => self.tick(now),
         }
@@ -292,6 +298,32 @@
         }
     }
 
+    fn hand_over(&self, leaving: bool) -> Vec<(RingMember, Vec<Handed>)> {
+        let with_answer = |record: HandedRecord| {
+            let answer = match self.kept.get(&record.key) {
+                Some(Outcome::Answer(answer)) if answer.body.len() <= MAX_HANDED_ANSWER => {
+                    Some((**answer).clone())
+                }
+                _ => None,
+            };
+            (record, answer)
+        };
+        let parts = self.ledger.hand_over(leaving).into_iter();
+        parts.map(|(to, records)| (to, records.into_iter().map(with_answer).collect())).collect()
+    }
+
+    fn take_over(&mut self, handed: Vec<Handed>, now: Timestamp) {
+        let records: Vec<HandedRecord> = handed.iter().map(|(record, _)| *record).collect();
+        self.ledger.take_over(&records, now);
+        for (record, answer) in handed {
+            if let Some(answer) = answer
+                && self.ledger.phase(record.key) == Some(Phase::Done)
+            {
+                self.keep(record.key, &Outcome::Answer(Arc::new(answer)));
+            }
+        }
+    }
+
     fn tick(&mut self, now: Timestamp) {
         for key in self.ledger.expire(now) {
             if let Some(Outcome::Answer(answer)) = self.kept.remove(&key) {
--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -2,18 +2,21 @@
 
 use std::time::Duration;
 
-use dillmill_core::claims::{Ring, RingMember};
+use dillmill_core::claims::Ring;
 use dillmill_core::{EventKind, MemberStatus, ProcessId, Timestamp};
 use dillmill_platform::RingStore;
-use dillmill_wire::Ask;
+use dillmill_wire::{Ask, KeptAnswer};
 
+use crate::claiming;
 use crate::context::AgentContext;
+use crate::ledger::Handed;
 
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const JOIN_PAUSE_MIN: Duration = Duration::from_millis(50);
 const JOIN_PAUSE_MAX: Duration = Duration::from_secs(2);
 const LOST_AFTER: Duration = Duration::from_secs(5);
-const RECORDS_PER_MESSAGE: usize = 100;
+const RECORD_LEN: usize = 64;
+const MAX_PART: usize = 6 * 1024;
 const HAND_OVER_ATTEMPTS: usize = 5;
 
 /// Looks after the ring until the process ends.
@@ -30,6 +33,9 @@
         if !joined || (!lost.is_empty() && is_first) {
             change(&cx, &store, &lost).await;
         }
+        if joined {
+            cover(&cx, &store, &ring).await;
+        }
         if joined {
             compio::time::sleep(CHECK_INTERVAL).await;
         } else {
@@ -112,38 +118,71 @@
 
 async fn tell_all(cx: &AgentContext, ring: &Ring) {
     for member in &ring.members {
-        let _ = cx.node.ask(*member, &cx.service, Ask::Ring(ring.clone())).await;
+        let _ = claiming::ask(cx, *member, Ask::Ring(ring.clone())).await;
     }
 }
 
 /// Passes on all records and says so in the ring; call it when nothing is dispatched any more.
 pub(crate) async fn hand_over(cx: &AgentContext, store: &RingStore) -> bool {
-    for (authority, records) in cx.ledger.hand_over().await {
-        for part in records.chunks(RECORDS_PER_MESSAGE) {
-            if !send_part(cx, authority, part).await {
-                return false;
-            }
-        }
-    }
-    let me = cx.me.process;
     for _ in 0..HAND_OVER_ATTEMPTS {
-        let marked = store
-            .change(|ring| (!ring.handed_over.contains(&me)).then(|| ring.with_handed_over(me)))
-            .await;
-        if let Ok((ring, _)) = marked
-            && ring.handed_over.contains(&me)
-        {
+        if !pass_on(cx, true).await {
+            continue;
+        }
+        let me = cx.me.process;
+        let epoch = cx.ledger.ring().await.0.epoch;
+        let marked =
+            store.change(|ring| (ring.epoch == epoch).then(|| ring.with_handed_over(me))).await;
+        let Ok((ring, by_us)) = marked else { continue };
+        if by_us {
             tell_all(cx, &ring).await;
             return true;
         }
+        // The ring has changed meanwhile: the records go to the authorities of the new one.
+        cx.ledger.adopt(ring).await;
     }
     false
 }
 
-async fn send_part(
-    cx: &AgentContext,
-    authority: RingMember,
-    part: &[dillmill_core::claims::HandedRecord],
-) -> bool {
-    cx.node.ask(authority, &cx.service, Ask::HandOver(part.to_vec())).await.is_ok()
+/// Passes on the records of the time when this agent was alone in its ring.
+async fn cover(cx: &AgentContext, store: &RingStore, ring: &Ring) {
+    let me = cx.me.process;
+    let was_alone = ring.past.iter().any(|past| past.is_alone(me));
+    if !was_alone || ring.members.len() < 2 || !pass_on(cx, false).await {
+        return;
+    }
+    let covered = store
+        .change(|present| (present.epoch == ring.epoch).then(|| present.with_covered(me)))
+        .await;
+    if let Ok((ring, _)) = covered {
+        cx.ledger.adopt(ring).await;
+    }
+}
+
+async fn pass_on(cx: &AgentContext, leaving: bool) -> bool {
+    for (heir, records) in cx.ledger.hand_over(leaving).await {
+        let mut rest = records.as_slice();
+        while !rest.is_empty() {
+            let (part, after) = rest.split_at(fitting(rest));
+            if claiming::ask(cx, heir, Ask::HandOver(part.to_vec())).await.is_none() {
+                return false;
+            }
+            rest = after;
+        }
+    }
+    true
+}
+
+/// Returns how many records fit one datagram; at least one.
+fn fitting(records: &[Handed]) -> usize {
+    let mut bytes = 0;
+    let size = |answer: &Option<KeptAnswer>| {
+        let Some(answer) = answer else { return RECORD_LEN };
+        let headers: usize = answer.headers.iter().map(|(n, v)| n.len() + v.len() + 4).sum();
+        RECORD_LEN + answer.body.len() + headers
+    };
+    let fits = records.iter().take_while(|(_, answer)| {
+        bytes += size(answer);
+        bytes <= MAX_PART
+    });
+    fits.count().max(1)
 }
--- a/crates/dillmill-core/src/claims.rs
+++ b/crates/dillmill-core/src/claims.rs
@@ -54,6 +54,14 @@
     pub members: Vec<RingMember>,
 }
 
+impl PastRing {
+    /// Returns whether `process` was the only agent.
+    #[must_use]
+    pub fn is_alone(&self, process: ProcessId) -> bool {
+        self.members.len() == 1 && self.members[0].process == process
+    }
+}
+
 /// The ring of a service as the platform holds it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ring {
@@ -89,6 +97,17 @@
         next
     }
 
+    /// Returns this ring without its past rings in which `process` was alone.
+    ///
+    /// Only `process` may do this, after it has passed all its records to the authorities of this
+    /// ring: until then nobody else has copies, and its loss would leave every key unknown.
+    #[must_use]
+    pub fn with_covered(&self, process: ProcessId) -> Self {
+        let mut next = self.changed(&[], &[], self.past.len());
+        next.past.retain(|past| !past.is_alone(process));
+        next
+    }
+
     /// Returns this ring with `process` marked as having passed on its records.
     #[must_use]
     pub fn with_handed_over(&self, process: ProcessId) -> Self {
@@ -163,6 +182,8 @@
     Held(RingMember),
     /// This agent has dispatched it.
     Dispatched(Phase),
+    /// The named agent, or one that it stands for, has dispatched it for certain.
+    DispatchedBy(RingMember),
     /// This agent is in an older epoch and needs the ring first.
     OldEpoch,
     /// This agent is in a newer epoch; its ring is given.
@@ -196,8 +217,20 @@
     pub key: ClaimKey,
     /// The agent that held it.
     pub holder: RingMember,
-    /// The epoch of the grant, or `None` if the holder has dispatched it.
-    pub granted: Option<Epoch>,
+    /// What is passed on.
+    pub standing: HandedStanding,
+}
+
+/// What a leaving agent knows of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HandedStanding {
+    /// The holder was granted it in this epoch.
+    Granted(Epoch),
+    /// The holder, another agent or the one that passes this on and stays, has dispatched it.
+    Dispatched,
+    /// The agent that passes this on and leaves has dispatched it; whoever takes it over answers
+    /// for it from now on.
+    Left(Phase),
 }
 
 /// What a record says of its key.
@@ -211,6 +244,12 @@
     DispatchedElsewhere,
 }
 
+impl Standing {
+    fn is_dispatched(self) -> bool {
+        !matches!(self, Self::Granted(_))
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Record {
     holder: RingMember,
@@ -320,10 +359,11 @@
         if let Some(record) = self.settled(key) {
             // A holder that is gone is not asked here: the asking agent tries to reach it and
             // answers "unknown" when it can't.
-            let answer = if record.holder.process == by.process {
-                ClaimAnswer::Granted
-            } else {
-                ClaimAnswer::Held(record.holder)
+            let answer = match (record.holder.process == by.process, record.standing) {
+                (false, _) => ClaimAnswer::Held(record.holder),
+                (true, Standing::Granted(_)) => ClaimAnswer::Granted,
+                // It was to answer for a dispatch of another, and has not heard of it.
+                (true, _) => ClaimAnswer::Unknown,
             };
             return Claim::Answer(answer);
         }
@@ -388,8 +428,7 @@
         if self.settled(key).is_some() {
             return self.claim(key, epoch, by, now);
         }
-        if let Some(holder) = self.holder_that_counts(key, findings) {
-            let standing = Standing::Granted(self.ring.epoch);
+        if let Some((holder, standing)) = self.holder_that_counts(key, findings) {
             self.records.insert(key, Record { holder, standing, at: now });
             return self.claim(key, epoch, by, now);
         }
@@ -413,15 +452,24 @@
     }
 
     /// Returns the holder that has dispatched `key`, or that was named and can't be asked.
-    fn holder_that_counts(&self, key: ClaimKey, findings: &[Finding]) -> Option<RingMember> {
-        let dispatched = findings
-            .iter()
-            .find(|f| matches!(f.answer, Some(Inquiry::Dispatched(_))))
-            .map(|f| f.asked);
+    fn holder_that_counts(
+        &self,
+        key: ClaimKey,
+        findings: &[Finding],
+    ) -> Option<(RingMember, Standing)> {
+        let dispatched = findings.iter().find_map(|f| match f.answer {
+            Some(Inquiry::Dispatched(_)) => Some(f.asked),
+            Some(Inquiry::DispatchedBy(holder)) => Some(holder),
+            _ => None,
+        });
+        if let Some(holder) = dispatched {
+            return Some((holder, Standing::DispatchedElsewhere));
+        }
         let is_lost = |holder: &RingMember| {
             findings.iter().any(|f| f.asked.process == holder.process && f.answer.is_none())
         };
-        dispatched.or_else(|| self.named_holders(key, findings).into_iter().find(is_lost))
+        let lost = self.named_holders(key, findings).into_iter().find(is_lost)?;
+        Some((lost, Standing::Granted(self.ring.epoch)))
     }
 
     fn named_holders(&self, key: ClaimKey, findings: &[Finding]) -> BTreeSet<RingMember> {
@@ -478,8 +526,9 @@
         let Some(record) = self.records.get(&key) else { return Inquiry::Free };
         match record.standing {
             Standing::Dispatched(phase) => Inquiry::Dispatched(phase),
-            _ if record.holder.process == self.me.process => Inquiry::Free,
-            Standing::Granted(_) | Standing::DispatchedElsewhere => Inquiry::Held(record.holder),
+            Standing::DispatchedElsewhere => Inquiry::DispatchedBy(record.holder),
+            Standing::Granted(_) if record.holder.process == self.me.process => Inquiry::Free,
+            Standing::Granted(_) => Inquiry::Held(record.holder),
         }
     }
 
@@ -557,31 +606,66 @@
         old
     }
 
-    /// Returns what a leaving agent passes on, by the authority that takes it.
+    /// Returns what this agent passes on, by the agent that takes it.
     ///
-    /// Call it after the ring without this agent was adopted.
+    /// Each record goes to two others, its authority first, as it must outlive the loss of one.
+    /// Call it after the ring was adopted whose authorities are to have the records: one without
+    /// this agent if it is `leaving`.
     #[must_use]
-    pub fn hand_over(&self) -> BTreeMap<RingMember, Vec<HandedRecord>> {
+    pub fn hand_over(&self, leaving: bool) -> BTreeMap<RingMember, Vec<HandedRecord>> {
         let mut parts: BTreeMap<RingMember, Vec<HandedRecord>> = BTreeMap::new();
         for (key, record) in &self.records {
-            if let Some(authority) = self.authority(*key) {
-                let granted = match record.standing {
-                    Standing::Granted(epoch) => Some(epoch),
-                    Standing::Dispatched(_) | Standing::DispatchedElsewhere => None,
+            let standing = match record.standing {
+                Standing::Granted(epoch) => HandedStanding::Granted(epoch),
+                // What is still in flight when the agent leaves will never be known.
+                Standing::Dispatched(Phase::InFlight) if leaving => {
+                    HandedStanding::Left(Phase::Unknown)
+                }
+                Standing::Dispatched(phase) if leaving => HandedStanding::Left(phase),
+                Standing::Dispatched(_) | Standing::DispatchedElsewhere => {
+                    HandedStanding::Dispatched
+                }
+            };
+            let mut heirs = ranked(&self.ring.members, *key);
+            heirs.retain(|m| m.process != self.me.process);
+            let Some(first) = heirs.first().copied() else { continue };
+            let handed = HandedRecord { key: *key, holder: record.holder, standing };
+            parts.entry(first).or_default().push(handed);
+            if let Some(second) = heirs.get(1) {
+                let copy = match standing {
+                    HandedStanding::Left(_) => HandedRecord {
+                        holder: first,
+                        standing: HandedStanding::Dispatched,
+                        ..handed
+                    },
+                    HandedStanding::Granted(_) | HandedStanding::Dispatched => handed,
                 };
-                let handed = HandedRecord { key: *key, holder: record.holder, granted };
-                parts.entry(authority).or_default().push(handed);
+                parts.entry(*second).or_default().push(copy);
             }
         }
         parts
     }
 
-    /// Takes over records of a leaving agent.
+    /// Takes over records of another agent.
     pub fn take_over(&mut self, records: &[HandedRecord], now: Timestamp) {
         for handed in records {
-            let standing = handed.granted.map_or(Standing::DispatchedElsewhere, Standing::Granted);
-            let record = Record { holder: handed.holder, standing, at: now };
-            self.records.entry(handed.key).or_insert(record);
+            let (holder, standing) = match handed.standing {
+                HandedStanding::Granted(epoch) => (handed.holder, Standing::Granted(epoch)),
+                HandedStanding::Dispatched => (handed.holder, Standing::DispatchedElsewhere),
+                HandedStanding::Left(phase) => (self.me, Standing::Dispatched(phase)),
+            };
+            let known = self.records.get(&handed.key);
+            let replaces = match handed.standing {
+                // What this agent did itself it knows best.
+                _ if self.phase(handed.key).is_some() => false,
+                HandedStanding::Granted(_) => known.is_none(),
+                HandedStanding::Dispatched | HandedStanding::Left(_) => {
+                    known.is_none_or(|r| r.holder == handed.holder || !r.standing.is_dispatched())
+                }
+            };
+            if replaces {
+                self.records.insert(handed.key, Record { holder, standing, at: now });
+            }
         }
     }
 }
--- a/crates/dillmill-core/tests/claim_safety.rs
+++ b/crates/dillmill-core/tests/claim_safety.rs
@@ -115,6 +115,57 @@
         agent.ledger.adopt(self.ring.clone(), now());
     }
 
+    /// An agent leaves as planned: it ends its tries, leaves the ring, passes its records on.
+    fn leave(&mut self) {
+        let Some(process) = self.awake(ProcessId(0)) else { return };
+        let busy = |t: &Try| {
+            t.runner.process == process
+                || matches!(&t.stage, Stage::Consulting { at, .. } if at.process == process)
+        };
+        if self.tries.iter().any(busy) {
+            return;
+        }
+        let next = {
+            let ledger = &mut self.agents.get_mut(&process).unwrap().ledger;
+            ledger.adopt(self.ring.clone(), now());
+            let live = ledger.live_past(now());
+            let next = self.ring.changed(&[], &[process], live);
+            ledger.adopt(next.clone(), now());
+            next
+        };
+        self.ring = next;
+        if self.pass_on(process, true) {
+            self.ring = self.ring.with_handed_over(process);
+        }
+        self.agents.remove(&process);
+    }
+
+    /// An agent that was alone in a past ring passes its records on, so that its loss does not
+    /// leave every key unknown.
+    fn cover(&mut self) {
+        let Some(process) = self.awake(ProcessId(0)) else { return };
+        if self.ring.members.len() < 2 || !self.ring.past.iter().any(|p| p.is_alone(process)) {
+            return;
+        }
+        let ring = self.ring.clone();
+        self.agents.get_mut(&process).unwrap().ledger.adopt(ring, now());
+        if self.pass_on(process, false) {
+            self.ring = self.ring.with_covered(process);
+        }
+    }
+
+    fn pass_on(&mut self, process: ProcessId, leaving: bool) -> bool {
+        let parts = self.agents[&process].ledger.hand_over(leaving);
+        let ring = self.ring.clone();
+        parts.into_iter().all(|(heir, records)| {
+            let taken = self.at(heir, |l| {
+                l.adopt(ring.clone(), now());
+                l.take_over(&records, now());
+            });
+            taken.is_some()
+        })
+    }
+
     /// Returns an awake agent of the ring other than `but`.
     fn awake(&mut self, but: ProcessId) -> Option<ProcessId> {
         let awake: Vec<ProcessId> = self
@@ -145,6 +196,8 @@
             }
             10 => self.join(),
             11 => self.gossip_ring(),
+            12 if crowded => self.leave(),
+            13 => self.cover(),
             _ => self.advance_try(),
         }
     }
@@ -352,8 +405,8 @@
         for _ in 0..600 {
             model.step();
         }
-        let doubles = model.dispatched.values().any(|n| *n > 1);
-        doubled += u32::from(doubles || model.false_not_run > 0);
+        let twice = model.dispatched.values().any(|n| *n > 1);
+        doubled += u32::from(twice || model.false_not_run > 0);
         dispatches += model.granted;
     }
     (doubled, dispatches)
@@ -462,8 +515,9 @@
     leaver.end(k, Phase::Done, now());
     let next = ring.changed(&[], &[ProcessId(1)], 1);
     leaver.adopt(next.clone(), now());
-    let parts = leaver.hand_over();
-    let (heir, records) = parts.iter().next().unwrap();
+    let parts = leaver.hand_over(true);
+    let heir = &leaver.authority(k).unwrap();
+    let records = &parts[heir];
     let mut heir_ledger = ledger(heir.process.0, &ring);
     heir_ledger.adopt(next.clone(), now());
     heir_ledger.take_over(records, now());
@@ -471,7 +525,8 @@
     heir_ledger.adopt(last.clone(), now());
     let other = last.members.iter().find(|m| m.process != heir.process).unwrap();
     let claim = heir_ledger.claim(k, last.epoch, *other, now());
-    assert_eq!(claim, Claim::Answer(ClaimAnswer::Held(member(1))));
+    assert_eq!(claim, Claim::Answer(ClaimAnswer::Held(*heir)));
+    assert_eq!(heir_ledger.phase(k), Some(Phase::Done));
 }
 
 #[test]
--- a/crates/dillmill-core/tests/membership_views.rs
+++ b/crates/dillmill-core/tests/membership_views.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use dillmill_core::membership::Outgoing;
+use dillmill_core::membership::{Outgoing, Probe};
 use dillmill_core::{Member, MemberStatus, Membership, ProcessId, Role, Timestamp, Weight};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -212,14 +212,16 @@
     let mut rng = SmallRng::seed_from_u64(1);
     // It has a probe under way, then is frozen for a minute.
     let mut now = net.now;
+    let mut probing = false;
     for _ in 0..30 {
         now = now + STEP;
-        view.tick(now, &mut |n| rng.random_range(0..n));
-        if view.others().any(|m| m.status != MemberStatus::Serving) {
-            panic!("suspected before the pause");
+        let out = view.tick(now, &mut |n| rng.random_range(0..n));
+        probing = out.iter().any(|o| matches!(o.probe, Probe::Ping { .. }));
+        if probing {
+            break;
         }
-        break;
     }
+    assert!(probing, "no probe is under way");
     now = now + Duration::from_mins(1);
     view.tick(now, &mut |n| rng.random_range(0..n));
     assert!(view.others().all(|m| m.status == MemberStatus::Serving));
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -6,14 +6,13 @@
 use std::time::Duration;
 
 use compio::net::UdpSocket;
-use dillmill_core::claims::RingMember;
 use dillmill_core::membership::Outgoing;
 use dillmill_core::{
-    Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, ServiceName, Timestamp,
+    Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
 };
 use dillmill_settings::{Change, Tree};
 use dillmill_wire::stream::describe;
-use dillmill_wire::{Ask, Message, ProcessStatus, Reply, StreamMessage};
+use dillmill_wire::{Message, ProcessStatus, Reply, StreamMessage};
 
 use crate::handle::{Inlets, NodeHandle, Question, with_draw};
 use crate::{Handed, View, client};
@@ -22,7 +21,7 @@
 const RECENT_CHANGES: usize = 128;
 const CHANGES_PER_DATAGRAM: usize = 8;
 const MAX_DATAGRAM: usize = 8 * 1024;
-const ASK_LIFETIME: Duration = Duration::from_secs(2);
+const ASK_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Everything that the control task takes in.
 #[derive(Debug)]
@@ -56,14 +55,10 @@
         /// Content.
         message: Message,
     },
-    /// Ask an agent.
-    Ask {
-        /// Receiver.
-        to: RingMember,
-        /// The service.
-        service: ServiceName,
-        /// The question.
-        ask: Ask,
+    /// Take the reply to a question that is sent under this number.
+    Await {
+        /// Number of the question.
+        id: u64,
         /// Takes the reply.
         tx: flume::Sender<Reply>,
     },
@@ -116,7 +111,6 @@
     pub(crate) inlets: Option<Inlets>,
     pub(crate) subscribers: Vec<flume::Sender<Arc<View>>>,
     pub(crate) asks: HashMap<u64, (flume::Sender<Reply>, Timestamp)>,
-    pub(crate) next_ask: u64,
     pub(crate) platform_reachable: bool,
     pub(crate) shown: Option<(u64, Revision)>,
 }
@@ -139,7 +133,6 @@
             inlets: None,
             subscribers: Vec::new(),
             asks: HashMap::new(),
-            next_ask: 1,
             platform_reachable: false,
             shown: None,
         }
@@ -170,12 +163,8 @@
             }
             Input::Inlets(inlets) => self.inlets = Some(inlets),
             Input::Send { to, message } => self.send(to, &message).await,
-            Input::Ask { to, service, ask, tx } => {
-                let id = self.next_ask;
-                self.next_ask += 1;
+            Input::Await { id, tx } => {
                 self.asks.insert(id, (tx, now));
-                let message = Message::Ask { id, to: to.process, service, ask };
-                self.send(to.control, &message).await;
             }
             Input::Settings { source, changes, tree } => {
                 self.take_settings(&source, changes, tree, now).await;
--- a/crates/dillmill-node/src/handle.rs
+++ b/crates/dillmill-node/src/handle.rs
@@ -15,8 +15,7 @@
 use crate::logging;
 use crate::{Clock, Framed, Metrics, NodeError, View};
 
-const ASK_ATTEMPTS: usize = 3;
-const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+const ASK_AGAIN: Duration = Duration::from_millis(120);
 
 /// Writes events into the log and the time line.
 #[derive(Debug, Clone)]
@@ -124,7 +123,7 @@
         self.send(question.from, Message::Reply { id: question.id, reply });
     }
 
-    /// Asks an agent, up to three times.
+    /// Asks an agent, again and again until it answers or `patience` is over.
     ///
     /// # Errors
     ///
@@ -134,14 +133,23 @@
         to: RingMember,
         service: &ServiceName,
         ask: Ask,
+        patience: Duration,
     ) -> Result<Reply, NodeError> {
-        for _ in 0..ASK_ATTEMPTS {
-            let (tx, rx) = flume::bounded(1);
-            let question = Input::Ask { to, service: service.clone(), ask: ask.clone(), tx };
-            let _ = self.tx.send(question);
-            if let Ok(Ok(reply)) = compio::time::timeout(ASK_TIMEOUT, rx.recv_async()).await {
+        // All tries have one number, so that a late answer to the first still counts.
+        let id: u64 = rand::rng().random();
+        let (tx, rx) = flume::bounded(1);
+        let _ = self.tx.send(Input::Await { id, tx });
+        let message = Message::Ask { id, to: to.process, service: service.clone(), ask };
+        let mut left = patience;
+        let mut wait = ASK_AGAIN;
+        while !left.is_zero() {
+            self.send(to.control, message.clone());
+            let this = wait.min(left);
+            if let Ok(Ok(reply)) = compio::time::timeout(this, rx.recv_async()).await {
                 return Ok(reply);
             }
+            left -= this;
+            wait *= 2;
         }
         Err(NodeError::new("ask", to.control, "no answer"))
     }
--- a/crates/dillmill-standins/src/caller.rs
+++ b/crates/dillmill-standins/src/caller.rs
@@ -9,6 +9,7 @@
 use compio::quic::crypto::rustls::QuicClientConfig;
 use compio::quic::{ClientConfig, Endpoint, TransportConfig};
 use futures_util::future::poll_fn;
+use h3::error::{Code, StreamError};
 use http::{Method, Request};
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::pem::PemObject;
@@ -21,6 +22,35 @@
 type SendRequest = h3::client::SendRequest<compio::quic::h3::OpenStreams, Bytes>;
 type RequestStream = h3::client::RequestStream<compio::quic::h3::BidiStream<Bytes>, Bytes>;
 
+/// Why a call has no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallError {
+    /// The flow takes no more requests and did not take this one: ask on a new flow (RFC 9114
+    /// section 5.2).
+    Moved,
+    /// The flow or the answer broke off.
+    Broken(StandinError),
+}
+
+impl From<CallError> for StandinError {
+    fn from(e: CallError) -> Self {
+        match e {
+            CallError::Moved => Self::new("call", "the flow takes no more requests"),
+            CallError::Broken(e) => e,
+        }
+    }
+}
+
+fn call_error(step: &'static str) -> impl FnOnce(StreamError) -> CallError {
+    move |e| match e {
+        StreamError::RemoteClosing => CallError::Moved,
+        StreamError::RemoteTerminate { code } if code == Code::H3_REQUEST_REJECTED => {
+            CallError::Moved
+        }
+        other => CallError::Broken(StandinError::new(step, other)),
+    }
+}
+
 /// A whole answer, or the part of one that came.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -125,7 +155,7 @@
         Ok(Self { send, _endpoint: endpoint })
     }
 
-    async fn open(&mut self, call: &Call) -> Result<RequestStream, StandinError> {
+    async fn open(&mut self, call: &Call) -> Result<RequestStream, CallError> {
         let is_post = call.key.is_some() || !call.body.is_empty();
         let method = if is_post { Method::POST } else { Method::GET };
         let mut request = Request::builder()
@@ -138,16 +168,18 @@
         if let Some(ms) = call.deadline_ms {
             request = request.header("dillmill-deadline-ms", ms);
         }
-        let request = request.body(()).map_err(StandinError::at("build request"))?;
+        let request = request
+            .body(())
+            .map_err(|e| CallError::Broken(StandinError::new("build request", e)))?;
         let mut stream =
-            self.send.send_request(request).await.map_err(StandinError::at("send request"))?;
+            self.send.send_request(request).await.map_err(call_error("send request"))?;
         if !call.body.is_empty() {
             stream
                 .send_data(Bytes::from(call.body.clone()))
                 .await
-                .map_err(StandinError::at("send body"))?;
+                .map_err(call_error("send body"))?;
         }
-        stream.finish().await.map_err(StandinError::at("end request"))?;
+        stream.finish().await.map_err(call_error("end request"))?;
         Ok(stream)
     }
 
@@ -156,16 +188,14 @@
     /// # Errors
     ///
     /// Fails when the flow or the answer breaks off.
-    pub async fn call(&mut self, call: &Call) -> Result<Answer, StandinError> {
+    pub async fn call(&mut self, call: &Call) -> Result<Answer, CallError> {
         let mut stream = self.open(call).await?;
-        let head = stream.recv_response().await.map_err(StandinError::at("receive answer"))?;
+        let head = stream.recv_response().await.map_err(call_error("receive answer"))?;
         let header = |name| head.headers().get(name).and_then(|v| v.to_str().ok());
         let outcome = header("dillmill-outcome").map(str::to_owned);
         let retry_after = header("retry-after").and_then(|v| v.parse().ok());
         let mut body = Vec::new();
-        while let Some(mut part) =
-            stream.recv_data().await.map_err(StandinError::at("receive body"))?
-        {
+        while let Some(mut part) = stream.recv_data().await.map_err(call_error("receive body"))? {
             body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
         }
         let body = String::from_utf8_lossy(&body).into_owned();
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -23,6 +23,8 @@
 
 const CLUSTER_KEY: &str = "6b6579206f6620746865206c6f6f706261636b20696e7374616c6c6174696f6e";
 const FLOW_KEY: &str = "2b7e151628aed2a6abf7158809cf4f3c";
+/// With this variable set, processes log on `debug` and their logs are kept.
+const KEEP_LOGS: &str = "DILLMILL_KEEP_LOGS";
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(25);
 
@@ -116,6 +118,15 @@
     rules: FabricRules,
 }
 
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if std::env::var_os(KEEP_LOGS).is_some() {
+            self.dir.disable_cleanup(true);
+            eprintln!("logs are in {}", self.dir.path().display());
+        }
+    }
+}
+
 /// Output of `dillmillctl`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CtlOutput {
@@ -346,7 +357,7 @@
              platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nlog: {}\n{section}",
             self.platform,
             self.peers().join(", "),
-            self.spec.log,
+            if std::env::var_os(KEEP_LOGS).is_some() { "debug" } else { &self.spec.log },
         );
         let file = self.dir.path().join(format!("{name}.yaml"));
         std::fs::write(&file, text).map_err(StandinError::at("write settings"))?;
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -515,13 +515,30 @@
         Step::Ctl(args) => {
             let args: Vec<&str> = args.iter().map(String::as_str).collect();
             let output = cluster.ctl(&args)?;
-            return Ok(format!("exit {}\n{}{}", output.code, output.out, output.err));
+            let text = format!("exit {}\n{}{}", output.code, output.out, output.err);
+            return Ok(without_addresses(&text));
         }
         _ => {}
     }
     Ok(String::new())
 }
 
+/// Replaces addresses, which differ from run to run.
+fn without_addresses(text: &str) -> String {
+    let mut out = String::new();
+    for word in text.split_inclusive(|c: char| c.is_whitespace()) {
+        match word.find("127.") {
+            Some(at) => {
+                let end = word[at..].find(|c: char| !c.is_ascii_digit() && c != '.' && c != ':');
+                let rest = end.map_or("", |end| &word[at + end..]);
+                let _ = write!(out, "{}ADDRESS{rest}", &word[..at]);
+            }
+            None => out.push_str(word),
+        }
+    }
+    out
+}
+
 async fn in_force(cluster: &Cluster) -> Result<String, StandinError> {
     let output = cluster.ctl(&["status", "--wait", "15s"])?;
     compio::time::sleep(Duration::ZERO).await;
--- a/crates/dillmill-standins/src/traffic.rs
+++ b/crates/dillmill-standins/src/traffic.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::caller::Call;
+use crate::caller::{Call, CallError};
 use crate::{Caller, Cluster, StandinError};
 
 const CALL_LIMIT: Duration = Duration::from_secs(20);
@@ -85,22 +85,30 @@
 /// Makes a call on a new flow.
 pub async fn ask(service: SocketAddr, certificate: &str, name: &str, call: &Call) -> Verdict {
     let work = async {
-        let mut caller = Caller::connect(service, certificate).await.ok()?;
-        Some(ask_on(&mut caller, name, call).await)
+        loop {
+            let mut caller = Caller::connect(service, certificate).await.ok()?;
+            if let Some(verdict) = ask_on(&mut caller, name, call).await {
+                return Some(verdict);
+            }
+        }
     };
     compio::time::timeout(CALL_LIMIT, work).await.ok().flatten().unwrap_or(Verdict::Broken)
 }
 
-/// Makes a call on an open flow.
-pub async fn ask_on(caller: &mut Caller, name: &str, call: &Call) -> Verdict {
-    let Ok(answer) = caller.call(call).await else { return Verdict::Broken };
-    match (answer.status, answer.outcome.as_deref()) {
+/// Makes a call on an open flow; `None` if the caller has to move to another.
+pub async fn ask_on(caller: &mut Caller, name: &str, call: &Call) -> Option<Verdict> {
+    let answer = match caller.call(call).await {
+        Ok(answer) => answer,
+        Err(CallError::Moved) => return None,
+        Err(CallError::Broken(_)) => return Some(Verdict::Broken),
+    };
+    Some(match (answer.status, answer.outcome.as_deref()) {
         (200, _) if answer.field("service") == Some(name) => Verdict::Whole,
         (200, _) => Verdict::WrongService,
         (_, Some("not-run")) => Verdict::NotRun,
         (_, Some("unknown")) => Verdict::Unknown,
         (status, _) => Verdict::Refused(status),
-    }
+    })
 }
 
 /// What a long feed has seen.
@@ -214,19 +222,24 @@
     n: u64,
     ms: u64,
 ) {
-    let connecting = compio::time::timeout(CALL_LIMIT, Caller::connect(address, &certificate));
-    let mut caller = connecting.await.ok().and_then(Result::ok);
+    let mut caller = None;
     for i in 0..FLOW_REUSE {
         let key = format!("{service}-{n}-{i}");
         let path = format!("/run?service={service}&ms={ms}");
         let call = Call::new(path, "token-tellers").key(key.clone());
-        let verdict = match &mut caller {
-            None => Verdict::Broken,
-            Some(caller) => compio::time::timeout(CALL_LIMIT, ask_on(caller, &service, &call))
-                .await
-                .unwrap_or(Verdict::Broken),
+        let work = async {
+            loop {
+                if caller.is_none() {
+                    caller = Some(Caller::connect(address, &certificate).await.ok()?);
+                }
+                match ask_on(caller.as_mut()?, &service, &call).await {
+                    Some(verdict) => return Some(verdict),
+                    None => caller = None,
+                }
+            }
         };
-        log.borrow_mut().verdicts.insert(key, verdict);
+        let verdict = compio::time::timeout(CALL_LIMIT, work).await.ok().flatten();
+        log.borrow_mut().verdicts.insert(key, verdict.unwrap_or(Verdict::Broken));
     }
     log.borrow_mut().running -= 1;
 }
@@ -272,16 +285,17 @@
             String::new()
         } else {
             format!(
-                ", {} not run, {} unknown, {} refused",
+                ", {} broken, {} not run, {} unknown, {} refused",
+                sum.broken,
                 sum.not_run,
                 sum.unknown,
                 sum.refused.len(),
             )
         };
         Ok(format!(
-            "{moved} whole, {} broken, {} of the wrong service{refused}; \
+            "{moved} whole, {} of the wrong service{refused}; \
              {doubled} doubled, {false_answers} false answers\n",
-            sum.broken, sum.wrong_service,
+            sum.wrong_service,
         ))
     }
 }
--- a/crates/dillmill-wire/src/lib.rs
+++ b/crates/dillmill-wire/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod stream;
 
 pub use frame::{Frame, FrameError};
-pub use message::{Ask, Message, Reply};
+pub use message::{Ask, KeptAnswer, Message, Reply};
 pub use packet::{Destination, packet_destination};
 pub use seal::{ClusterKey, ClusterKeyError, SealError};
 pub use stream::{HandedRequest, ProcessStatus, StreamMessage};
--- a/crates/dillmill-wire/src/message.rs
+++ b/crates/dillmill-wire/src/message.rs
@@ -80,8 +80,19 @@
     },
     /// A ring that may be newer than yours; yours is the reply.
     Ring(Ring),
-    /// Records of an agent that leaves.
-    HandOver(Vec<HandedRecord>),
+    /// Records of another agent, each with its answer where that is short enough.
+    HandOver(Vec<(HandedRecord, Option<KeptAnswer>)>),
+}
+
+/// An answer kept for resends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The whole body.
+    pub body: Vec<u8>,
 }
 
 /// A reply between agents of a service.
