fix(agent): planned stops break nothing; claims survive two hand-overs

Causes, each found by a scenario or by the model of the claims: 1. leave_agent/leave_half: new flows were refused from the first moment of a planned stop, while balancers and other leaving agents still sent them. Now refused only after 2 s; until then such a flow gets its first request through and is told to move; a leaving agent passes first packets on up to 3 times. The scenario itself sent a second signal, which ends a process at once: that is now exit code 1, and the script waits instead. 4. once_agent_killed: a new key stayed unknown for the window, because the first agent had been alone in a ring. It now passes its records on and the ring says so; whoever changes a ring tells the others. 5. Model (40,000 walks each with 3, 5 and 9 agents): a record passed on must reach two agents; a newer grant replaces an older hint; a holder that was named but can't be asked is no grant; a certain dispatch is told as such. 6.

--- a/crates/dillmill-agent/src/agent.rs
+++ b/crates/dillmill-agent/src/agent.rs
@@ -13,7 +13,8 @@
 use dillmill_settings::{CompiledTree, Service, Tls};
 use error_stack::Report;
 
-use crate::chain::closed;
+use crate::chain::{Closed, closed};
+use crate::connection::Leaving;
 use crate::context::{AgentContext, Shared};
 use crate::data_task::DataTask;
 use crate::desk::Desk;
@@ -39,7 +40,10 @@
     cx: AgentContext,
     rings: RingStore,
     endpoint: quinn::Endpoint,
-    leaving: flume::Sender<()>,
+    /// Dropped when callers are to move.
+    told: flume::Sender<()>,
+    /// Dropped when new flows are refused.
+    refusing: flume::Sender<()>,
 }
 
 impl Agent {
@@ -93,7 +97,7 @@
         };
         compio::runtime::spawn(data.run()).detach();
         let rings = RingStore::new(node.platform.clone(), &service_name);
-        let leaving = start_tasks(&cx, &rings, &endpoint);
+        let (told, refusing) = start_tasks(&cx, &rings, &endpoint);
         let follower = Follower {
             cx: cx.clone(),
             views,
@@ -103,7 +107,7 @@
         };
         compio::runtime::spawn(follower.run(config.data)).detach();
         compio::runtime::spawn(probe_target(cx.clone())).detach();
-        Ok(Self { node, cx, rings, endpoint, leaving })
+        Ok(Self { node, cx, rings, endpoint, told, refusing })
     }
 
     /// Stops as planned: takes nothing new, lets requests and flows end, passes claims on.
@@ -112,7 +116,7 @@
         let started = handle.clock.now();
         self.cx.set_stopping();
         handle.leave();
-        drop(self.leaving);
+        drop(self.told);
         let limit = self
             .cx
             .view()
@@ -122,6 +126,7 @@
             .map_or(Duration::from_mins(1), |s| s.operation.drain.duration());
         // Others still send new work until they have heard; it is taken until then.
         compio::time::sleep(SPREAD.min(limit)).await;
+        drop(self.refusing);
         self.cx.desk.close();
         ring_task::leave(&self.cx, &self.rings).await;
         let mut finished = false;
@@ -166,7 +171,7 @@
     cx: &AgentContext,
     rings: &RingStore,
     endpoint: &quinn::Endpoint,
-) -> flume::Sender<()> {
+) -> (flume::Sender<()>, flume::Sender<()>) {
     let (questions_tx, questions) = flume::unbounded();
     let (loads_tx, loads) = flume::unbounded();
     let (handed_tx, handed) = flume::unbounded();
@@ -175,15 +180,23 @@
     compio::runtime::spawn(claiming::answer_all(cx.clone(), questions)).detach();
     compio::runtime::spawn(hand_over::serve_all(cx.clone(), handed)).detach();
     compio::runtime::spawn(ring_task::run(cx.clone(), rings.clone())).detach();
-    let (leaving_tx, leaving_rx) = flume::bounded::<()>(0);
-    let leaving = closed(async move {
-        let _ = leaving_rx.recv_async().await;
+    let (told_tx, told) = signal();
+    let (refusing_tx, refusing) = signal();
+    let accepting =
+        connection::accept_all(cx.clone(), endpoint.clone(), Leaving { told, refusing });
+    compio::runtime::spawn(accepting).detach();
+    (told_tx, refusing_tx)
+}
+
+/// Returns a future that completes when the sender is dropped.
+fn signal() -> (flume::Sender<()>, Closed) {
+    let (tx, rx) = flume::bounded::<()>(0);
+    let dropped = closed(async move {
+        let _ = rx.recv_async().await;
     });
     // A shared future only completes while someone polls it.
-    compio::runtime::spawn(leaving.clone()).detach();
-    let accepting = connection::accept_all(cx.clone(), endpoint.clone(), leaving);
-    compio::runtime::spawn(accepting).detach();
-    leaving_tx
+    compio::runtime::spawn(dropped.clone()).detach();
+    (tx, dropped)
 }
 
 /// Follows the settings: keys of connection ids, certificate, claim window.
--- a/crates/dillmill-agent/src/connection.rs
+++ b/crates/dillmill-agent/src/connection.rs
@@ -18,14 +18,23 @@
 const STREAMS_IN_FLIGHT: usize = 256;
 const MAX_KEY_LEN: usize = 256;
 
-/// Takes flows until the endpoint closes; refuses new ones once `leaving` has completed.
-pub(crate) async fn accept_all(cx: AgentContext, endpoint: quinn::Endpoint, leaving: Closed) {
+/// The two steps of a planned stop, as flows see them.
+#[derive(Debug, Clone)]
+pub(crate) struct Leaving {
+    /// Callers are told to move. New flows still come from those that have not heard.
+    pub(crate) told: Closed,
+    /// New flows are refused.
+    pub(crate) refusing: Closed,
+}
+
+/// Takes flows until the endpoint closes.
+pub(crate) async fn accept_all(cx: AgentContext, endpoint: quinn::Endpoint, leaving: Leaving) {
     while let Some(incoming) = endpoint.accept().await {
-        if leaving.peek().is_some() {
+        if leaving.refusing.peek().is_some() {
             incoming.refuse();
             continue;
         }
-        compio::runtime::spawn(serve(cx.clone(), incoming, leaving.clone())).detach();
+        compio::runtime::spawn(serve(cx.clone(), incoming, leaving.told.clone())).detach();
     }
 }
 
@@ -52,11 +61,14 @@
         Err(e) => return e.to_string(),
     };
     let mut told = false;
+    // A flow that opens during a planned stop gets its first request through before it is told.
+    let mut first = leaving.peek().is_some();
     loop {
         let next = {
             let accepting = h3.accept();
             pin_mut!(accepting);
-            if told {
+            if told || first {
+                first = false;
                 Some(accepting.await)
             } else {
                 match select(accepting, leaving.clone()).await {
--- a/crates/dillmill-agent/src/inbound.rs
+++ b/crates/dillmill-agent/src/inbound.rs
@@ -7,8 +7,11 @@
 use dillmill_core::{FlowId, FlowKeys, HomeTable, ServiceNumber, Timestamp};
 use dillmill_wire::{Destination, packet_destination};
 
-/// How often a first packet is passed on between agents whose views differ.
+/// How often a first packet is passed on before an agent that takes new flows keeps it.
 pub const MAX_HOPS: u8 = 1;
+/// How often it is passed on before an agent that is leaving keeps it: several may leave at once,
+/// each not yet knowing of the others.
+pub const MAX_HOPS_LEAVING: u8 = 3;
 const FIRST_PACKET_LIFETIME: Duration = Duration::from_secs(10);
 
 /// What a packet is judged by.
@@ -93,7 +96,8 @@
         first: &mut FirstPackets,
         now: Timestamp,
     ) -> Inbound {
-        if hops < MAX_HOPS
+        let serving = self.homes.homes().iter().any(|home| home.data == self.own.agent);
+        if hops < if serving { MAX_HOPS } else { MAX_HOPS_LEAVING }
             && !first.contains(id, now)
             && let Some(home) = self.homes.home(id)
             && home.data != self.own.agent
--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -6,6 +6,7 @@
 use dillmill_core::{EventKind, MemberStatus, ProcessId, Timestamp};
 use dillmill_platform::RingStore;
 use dillmill_wire::{Ask, KeptAnswer};
+use futures_util::future::join_all;
 
 use crate::claiming;
 use crate::context::AgentContext;
@@ -14,7 +15,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const JOIN_PAUSE_MIN: Duration = Duration::from_millis(50);
 const JOIN_PAUSE_MAX: Duration = Duration::from_secs(2);
-const LOST_AFTER: Duration = Duration::from_secs(5);
+const LOST_AFTER: Duration = Duration::from_secs(1);
 const RECORD_LEN: usize = 64;
 const MAX_PART: usize = 6 * 1024;
 const HAND_OVER_ATTEMPTS: usize = 5;
@@ -93,6 +94,8 @@
         let cause =
             if lost.is_empty() { "agent joins".to_owned() } else { format!("{lost:?} lost") };
         cx.node.journal.record(EventKind::Member, what, cause);
+        // Those that were alone in the ring before must hear of it to pass their records on.
+        tell_all(cx, &ring).await;
     }
     cx.ledger.adopt(ring).await;
 }
@@ -117,9 +120,8 @@
 }
 
 async fn tell_all(cx: &AgentContext, ring: &Ring) {
-    for member in &ring.members {
-        let _ = claiming::ask(cx, *member, Ask::Ring(ring.clone())).await;
-    }
+    let others = ring.members.iter().filter(|m| m.process != cx.me.process);
+    join_all(others.map(|member| claiming::ask(cx, *member, Ask::Ring(ring.clone())))).await;
 }
 
 /// Passes on all records and says so in the ring; call it when nothing is dispatched any more.
@@ -153,7 +155,12 @@
     let covered = store
         .change(|present| (present.epoch == ring.epoch).then(|| present.with_covered(me)))
         .await;
-    if let Ok((ring, _)) = covered {
+    if let Ok((ring, by_us)) = covered {
+        if by_us {
+            let what = format!("ring of {} has epoch {}", cx.service, ring.epoch.0);
+            cx.node.journal.record(EventKind::Member, what, "records passed on, alone before");
+            tell_all(cx, &ring).await;
+        }
         cx.ledger.adopt(ring).await;
     }
 }
--- a/crates/dillmill-core/src/claims.rs
+++ b/crates/dillmill-core/src/claims.rs
@@ -138,6 +138,15 @@
         .collect()
 }
 
+/// Returns the agent that has dispatched the key for certain.
+fn dispatcher(findings: &[Finding]) -> Option<RingMember> {
+    findings.iter().find_map(|f| match f.answer {
+        Some(Inquiry::Dispatched(_)) => Some(f.asked),
+        Some(Inquiry::DispatchedBy(holder)) => Some(holder),
+        _ => None,
+    })
+}
+
 /// How far this agent has got with a request that it dispatches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -248,6 +257,10 @@
     fn is_dispatched(self) -> bool {
         !matches!(self, Self::Granted(_))
     }
+
+    fn is_before(self, epoch: Epoch) -> bool {
+        matches!(self, Self::Granted(own) if own < epoch)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -428,10 +441,16 @@
         if self.settled(key).is_some() {
             return self.claim(key, epoch, by, now);
         }
-        if let Some((holder, standing)) = self.holder_that_counts(key, findings) {
+        if let Some(holder) = dispatcher(findings) {
+            let standing = Standing::DispatchedElsewhere;
             self.records.insert(key, Record { holder, standing, at: now });
             return self.claim(key, epoch, by, now);
         }
+        if self.named_holder_is_lost(key, findings) {
+            // Not put on record: the holder may come back, and it need not be the one that
+            // dispatched the key.
+            return Claim::Answer(ClaimAnswer::Unknown);
+        }
         let holders = self.unasked_holders(key, findings);
         if !holders.is_empty() {
             return Claim::Consult(holders);
@@ -451,25 +470,11 @@
         Claim::Consult(rest)
     }
 
-    /// Returns the holder that has dispatched `key`, or that was named and can't be asked.
-    fn holder_that_counts(
-        &self,
-        key: ClaimKey,
-        findings: &[Finding],
-    ) -> Option<(RingMember, Standing)> {
-        let dispatched = findings.iter().find_map(|f| match f.answer {
-            Some(Inquiry::Dispatched(_)) => Some(f.asked),
-            Some(Inquiry::DispatchedBy(holder)) => Some(holder),
-            _ => None,
-        });
-        if let Some(holder) = dispatched {
-            return Some((holder, Standing::DispatchedElsewhere));
-        }
+    fn named_holder_is_lost(&self, key: ClaimKey, findings: &[Finding]) -> bool {
         let is_lost = |holder: &RingMember| {
             findings.iter().any(|f| f.asked.process == holder.process && f.answer.is_none())
         };
-        let lost = self.named_holders(key, findings).into_iter().find(is_lost)?;
-        Some((lost, Standing::Granted(self.ring.epoch)))
+        self.named_holders(key, findings).iter().any(is_lost)
     }
 
     fn named_holders(&self, key: ClaimKey, findings: &[Finding]) -> BTreeSet<RingMember> {
@@ -658,7 +663,7 @@
             let replaces = match handed.standing {
                 // What this agent did itself it knows best.
                 _ if self.phase(handed.key).is_some() => false,
-                HandedStanding::Granted(_) => known.is_none(),
+                HandedStanding::Granted(epoch) => known.is_none_or(|r| r.standing.is_before(epoch)),
                 HandedStanding::Dispatched | HandedStanding::Left(_) => {
                     known.is_none_or(|r| r.holder == handed.holder || !r.standing.is_dispatched())
                 }
--- a/crates/dillmill-core/tests/claim_safety.rs
+++ b/crates/dillmill-core/tests/claim_safety.rs
@@ -17,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-const WINDOW: Duration = Duration::from_secs(600);
+const WINDOW: Duration = Duration::from_mins(10);
 const KEYS: u8 = 3;
 
 fn member(n: u64) -> RingMember {
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -1,6 +1,6 @@
 //! dillmill and its surroundings as processes on loopback.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
@@ -106,6 +106,7 @@
     spec: ClusterSpec,
     client: Client,
     subnet: (u8, u8),
+    ports: Ports,
     next_host: u8,
     certificate: String,
     platform: SocketAddr,
@@ -138,16 +139,23 @@
     pub err: String,
 }
 
-/// Returns a port that is free on `ip` for TCP and UDP.
-fn free_port(ip: IpAddr) -> Result<u16, StandinError> {
-    for _ in 0..100 {
-        let tcp = TcpListener::bind((ip, 0)).map_err(StandinError::at("find a port"))?;
-        let port = tcp.local_addr().map_err(StandinError::at("find a port"))?.port();
-        if UdpSocket::bind((ip, port)).is_ok() {
-            return Ok(port);
+/// Ports given out, so that none is given out twice: the kernel may offer one again as long as its
+/// process has not bound it.
+#[derive(Debug, Default)]
+struct Ports(BTreeSet<SocketAddr>);
+
+impl Ports {
+    /// Returns an address on `ip` whose port is free for TCP and UDP.
+    fn take(&mut self, ip: IpAddr) -> Result<SocketAddr, StandinError> {
+        for _ in 0..1000 {
+            let tcp = TcpListener::bind((ip, 0)).map_err(StandinError::at("find a port"))?;
+            let addr = tcp.local_addr().map_err(StandinError::at("find a port"))?;
+            if UdpSocket::bind(addr).is_ok() && self.0.insert(addr) {
+                return Ok(addr);
+            }
         }
+        Err(StandinError::new("find a port", "none is free"))
     }
-    Err(StandinError::new("find a port", "none is free"))
 }
 
 fn certificate() -> Result<(String, String), StandinError> {
@@ -194,13 +202,14 @@
         let subnet = (rng.random_range(16..=250), rng.random_range(1..=250));
         let ip = IpAddr::V4(Ipv4Addr::new(127, subnet.0, subnet.1, 1));
         let client = Client::new().map_err(StandinError::at("make a client"))?;
-        let platform = SocketAddr::new(ip, free_port(ip)?);
-        let fabric = SocketAddr::new(ip, free_port(ip)?);
+        let mut ports = Ports::default();
+        let platform = ports.take(ip)?;
+        let fabric = ports.take(ip)?;
         let services = spec
             .services
             .iter()
             .map(|service| {
-                let address = SocketAddr::new(ip, free_port(ip)?);
+                let address = ports.take(ip)?;
                 Ok(Service { name: service.name.clone(), address })
             })
             .collect::<Result<Vec<_>, StandinError>>()?;
@@ -208,6 +217,7 @@
             dir,
             client,
             subnet,
+            ports,
             next_host: 2,
             certificate: String::new(),
             platform,
@@ -349,9 +359,9 @@
         section: &str,
         ip: IpAddr,
     ) -> Result<(), StandinError> {
-        let control = SocketAddr::new(ip, free_port(ip)?);
-        let data = SocketAddr::new(ip, free_port(ip)?);
-        let admin = SocketAddr::new(ip, free_port(ip)?);
+        let control = self.ports.take(ip)?;
+        let data = self.ports.take(ip)?;
+        let admin = self.ports.take(ip)?;
         let text = format!(
             "vm: {name}\nzone: zone-1\ncontrol: {control}\ndata: {data}\nadmin: {admin}\n\
              platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nlog: {}\n{section}",
@@ -387,7 +397,7 @@
     pub fn start_pair(&mut self, service: &ServiceSpec, i: usize) -> Result<(), StandinError> {
         let name = format!("{}-t{i}", service.name);
         let ip = self.next_ip();
-        let target = SocketAddr::new(ip, free_port(ip)?);
+        let target = self.ports.take(ip)?;
         let words = ["--listen", "--service", "--name", "--slots"];
         let values =
             [target.to_string(), service.name.clone(), name.clone(), service.slots.to_string()];
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -135,6 +135,8 @@
     Thaw(String),
     /// Stops a process as planned and waits for its end.
     Stop(String),
+    /// Waits for the end of a process that was asked to stop.
+    Wait(String),
     /// Asks a process to stop as planned and goes on.
     Terminate(String),
     /// Starts a process again.
@@ -471,14 +473,9 @@
         Step::Terminate(name) => cluster.process(name)?.terminate()?,
         Step::Stop(name) => {
             cluster.process(name)?.terminate()?;
-            let ended = cluster.process(name)?.wait(STOP_LIMIT).await;
-            cluster.forget(name);
-            return Ok(match ended {
-                Some(true) => format!("{name} ended well\n"),
-                Some(false) => format!("{name} failed\n"),
-                None => format!("{name} did not end\n"),
-            });
+            return ended(cluster, name).await;
         }
+        Step::Wait(name) => return ended(cluster, name).await,
         Step::Restart(name) => cluster.restart(name)?,
         Step::AddBalancer(name) => cluster.start_balancer(name)?,
         Step::AddTarget(service, i) => {
@@ -523,6 +520,16 @@
     Ok(String::new())
 }
 
+async fn ended(cluster: &mut Cluster, name: &str) -> Result<String, StandinError> {
+    let ended = cluster.process(name)?.wait(STOP_LIMIT).await;
+    cluster.forget(name);
+    Ok(match ended {
+        Some(true) => format!("{name} ended well\n"),
+        Some(false) => format!("{name} failed\n"),
+        None => format!("{name} did not end\n"),
+    })
+}
+
 /// Replaces addresses, which differ from run to run.
 fn without_addresses(text: &str) -> String {
     let mut out = String::new();
--- a/crates/dillmill-standins/src/traffic.rs
+++ b/crates/dillmill-standins/src/traffic.rs
@@ -100,7 +100,11 @@
     let answer = match caller.call(call).await {
         Ok(answer) => answer,
         Err(CallError::Moved) => return None,
-        Err(CallError::Broken(_)) => return Some(Verdict::Broken),
+        Err(CallError::Broken(e)) => {
+            // Shown by a test that fails.
+            eprintln!("call of {name} broke off: {e}");
+            return Some(Verdict::Broken);
+        }
     };
     Some(match (answer.status, answer.outcome.as_deref()) {
         (200, _) if answer.field("service") == Some(name) => Verdict::Whole,
@@ -230,7 +234,9 @@
         let work = async {
             loop {
                 if caller.is_none() {
-                    caller = Some(Caller::connect(address, &certificate).await.ok()?);
+                    let opened = Caller::connect(address, &certificate).await;
+                    let opened = opened.inspect_err(|e| eprintln!("flow not opened: {e}"));
+                    caller = Some(opened.ok()?);
                 }
                 match ask_on(caller.as_mut()?, &service, &call).await {
                     Some(verdict) => return Some(verdict),
--- a/crates/dillmill/src/main.rs
+++ b/crates/dillmill/src/main.rs
@@ -61,8 +61,7 @@
         (RoleCommand::Agent, None) | (RoleCommand::Balancer, _) => {
             let balancer = Balancer::spawn(config).await?;
             stop::requested().await;
-            stop_or_second(balancer.stop()).await;
-            Ok(())
+            stop_or_second(balancer.stop()).await
         }
     }
 }
@@ -74,14 +73,20 @@
     if let Either::Left((agent, stopping)) = select(starting, stopping).await {
         let agent = agent?;
         stopping.await;
-        stop_or_second(Box::pin(agent.stop())).await;
+        return stop_or_second(Box::pin(agent.stop())).await;
     }
     Ok(())
 }
 
-/// Stops as planned; a second signal ends the process at once.
-async fn stop_or_second(stopping: impl Future<Output = ()>) {
+/// Stops as planned; a second signal ends the process at once, which is a failure.
+async fn stop_or_second(stopping: impl Future<Output = ()>) -> Result<(), Report<NodeError>> {
     let second = stop::requested();
     pin_mut!(stopping, second);
-    select(stopping, second).await;
+    match select(stopping, second).await {
+        Either::Left(_) => Ok(()),
+        Either::Right(_) => {
+            let what = "a second signal came before the planned stop was done";
+            Err(Report::new(NodeError::new("stop", "process", what)))
+        }
+    }
 }
