--- a/crates/dillmill-standins/src/caller.rs
+++ b/crates/dillmill-standins/src/caller.rs
@@ -119,7 +119,7 @@
 /// One flow of a caller.
 pub struct Caller {
     send: SendRequest,
-    _endpoint: Endpoint,
+    endpoint: Endpoint,
 }
 
 /// An open long feed.
@@ -152,7 +152,13 @@
             let _ = poll_fn(|cx| driver.poll_close(cx)).await;
         })
         .detach();
-        Ok(Self { send, _endpoint: endpoint })
+        Ok(Self { send, endpoint })
+    }
+
+    /// Returns another handle on this flow, for a request at the same time.
+    #[must_use]
+    pub fn share(&self) -> Self {
+        Self { send: self.send.clone(), endpoint: self.endpoint.clone() }
     }
 
     async fn open(&mut self, call: &Call) -> Result<RequestStream, CallError> {
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -21,8 +21,10 @@
 use crate::target::{TargetCounts, TargetRules};
 use crate::{Caller, StandinError};
 
-const CLUSTER_KEY: &str = "6b6579206f6620746865206c6f6f706261636b20696e7374616c6c6174696f6e";
-const FLOW_KEY: &str = "2b7e151628aed2a6abf7158809cf4f3c";
+/// Key of the installation on loopback.
+pub const CLUSTER_KEY: &str = "6b6579206f6620746865206c6f6f706261636b20696e7374616c6c6174696f6e";
+/// Secret of the first flow key on loopback.
+pub const FLOW_KEY: &str = "2b7e151628aed2a6abf7158809cf4f3c";
 /// With this variable set, processes log on `debug` and their logs are kept.
 const KEEP_LOGS: &str = "DILLMILL_KEEP_LOGS";
 const READY_LIMIT: Duration = Duration::from_secs(30);
@@ -678,6 +680,23 @@
             .ok_or_else(|| StandinError::new("find service", format!("no {service}")))
     }
 
+    /// Returns the address of a service on one balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such balancer or service.
+    pub fn balancer_address(&self, name: &str, service: &str) -> Result<SocketAddr, StandinError> {
+        let ip = self.bind_ips.get(name).copied();
+        let ip = ip.ok_or_else(|| StandinError::new("find balancer", format!("no {name}")))?;
+        Ok(SocketAddr::new(ip, self.service_address(service)?.port()))
+    }
+
+    /// Returns the folder of logs and settings files.
+    #[must_use]
+    pub fn folder(&self) -> &std::path::Path {
+        self.dir.path()
+    }
+
     /// Returns what a process has printed and logged.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
--- a/crates/dillmill-standins/src/command.rs
+++ b/crates/dillmill-standins/src/command.rs
@@ -4,16 +4,29 @@
 
 use getopts::{Matches, Options};
 
+use crate::load::LoadSpec;
 use crate::target::TargetRules;
-use crate::{StandinError, demo, fabric, platform, target};
+use crate::{
+    StandinError, demo, fabric, forwarder, load, packets, platform, report, slopes, target,
+};
 
 const SUMMARY: &str = "\
 Usage: dillmill-standins demo
        dillmill-standins platform --listen ADDR
        dillmill-standins fabric --listen ADDR --service ADDR... [--seed N]
        dillmill-standins target --listen ADDR --service NAME --name NAME [--slots N]
+       dillmill-standins forwarder --listen ADDR --to ADDR
+       dillmill-standins load [--deployment kiosks|ristebud] [--placement POLICY]
+               [--load SHARE] [--flood SHARE] [--seconds N] [--feeds N] [--seed N]
+               [--kill-balancer] [--stop-agent]
+       dillmill-standins report FILE...
+       dillmill-standins packets
+       dillmill-standins slopes
 
-`demo` runs everything on loopback, asks some requests and reports.";
+`demo` runs everything on loopback, asks some requests and reports. `load` runs a
+deployment of the users under open-loop load and prints one JSON result; `report`
+makes a table of several. `packets` measures a balancer against `forwarder`,
+`slopes` the decisions at the size to come.";
 
 /// Runs a command line without the program's name.
 ///
@@ -28,6 +41,15 @@
     opts.optopt("", "slots", "slots of the target", "N");
     opts.optopt("", "cold-ms", "time during which a target is cold", "N");
     opts.optopt("", "seed", "seed of random choices", "N");
+    opts.optopt("", "to", "where a forwarder sends", "ADDR");
+    opts.optopt("", "deployment", "kiosks or ristebud", "NAME");
+    opts.optopt("", "placement", "placement of requests", "POLICY");
+    opts.optopt("", "load", "load as a share of the slots", "SHARE");
+    opts.optopt("", "flood", "share of the load of the first group", "SHARE");
+    opts.optopt("", "seconds", "length of a run", "N");
+    opts.optopt("", "feeds", "long feeds", "N");
+    opts.optflag("", "kill-balancer", "kill a balancer in the middle");
+    opts.optflag("", "stop-agent", "stop an agent as planned in the middle");
     opts.optflag("h", "help", "show this help");
     let matches = opts.parse(args).map_err(StandinError::at("read command line"))?;
     if matches.opt_present("help") {
@@ -55,6 +77,23 @@
             };
             target::run(listen(&matches)?, service, name, rules).await
         }
+        Some("forwarder") => {
+            let to = matches.opt_str("to").unwrap_or_default();
+            forwarder::run(listen(&matches)?, parse("to", &to)?).await
+        }
+        Some("load") => {
+            let result = Box::pin(load::run(load_spec(&matches)?)).await?;
+            let text =
+                serde_json::to_string_pretty(&result).map_err(StandinError::at("write result"))?;
+            println!("{text}");
+            Ok(())
+        }
+        Some("report") => {
+            print!("{}", report::table(&matches.free[1..])?);
+            Ok(())
+        }
+        Some("packets") => Box::pin(packets::run()).await,
+        Some("slopes") => slopes::run(),
         other => Err(StandinError::new("read command line", format!("no command {other:?}"))),
     }
 }
@@ -80,3 +119,18 @@
 ) -> Result<T, StandinError> {
     matches.opt_str(name).map_or(Ok(default), |text| parse(name, &text))
 }
+
+fn load_spec(matches: &Matches) -> Result<LoadSpec, StandinError> {
+    let text = |name: &str, default: &str| matches.opt_str(name).unwrap_or(default.to_owned());
+    Ok(LoadSpec {
+        deployment: text("deployment", "kiosks"),
+        placement: text("placement", "local-first"),
+        load: number(matches, "load", 0.5)?,
+        flood: number(matches, "flood", 1.0 / 3.0)?,
+        seconds: number(matches, "seconds", 10)?,
+        feeds: number(matches, "feeds", 10)?,
+        seed: number(matches, "seed", 1)?,
+        kill_balancer: matches.opt_present("kill-balancer"),
+        stop_agent: matches.opt_present("stop-agent"),
+    })
+}
--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -10,12 +10,18 @@
 pub mod demo;
 pub mod error;
 pub mod fabric;
+pub mod forwarder;
+pub mod load;
+pub mod packets;
 pub mod platform;
 pub mod process;
+pub mod report;
 pub mod scenario;
 pub mod serve;
+pub mod slopes;
 pub mod target;
 pub mod traffic;
+pub mod usage;
 
 pub use caller::{Answer, Caller};
 pub use cluster::{Cluster, ClusterSpec, ServiceSpec};
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -285,7 +285,7 @@
                 Ok(format!("{key} ran {} times\n", key_runs(cluster, service, key).await?))
             }
             Step::Feed { name, service } => {
-                let log = feed(cluster, service).await?;
+                let log = feed(cluster, service, "token-screens").await?;
                 self.feeds.insert(name.clone(), log);
                 Ok(format!("{name} open\n"))
             }
--- a/crates/dillmill-standins/src/traffic.rs
+++ b/crates/dillmill-standins/src/traffic.rs
@@ -129,10 +129,14 @@
 /// # Errors
 ///
 /// Fails when it can't be opened.
-pub async fn feed(cluster: &Cluster, service: &str) -> Result<Rc<RefCell<FeedLog>>, StandinError> {
+pub async fn feed(
+    cluster: &Cluster,
+    service: &str,
+    token: &str,
+) -> Result<Rc<RefCell<FeedLog>>, StandinError> {
     let mut caller = cluster.caller(service).await?;
     let path = format!("/feed?service={service}&every_ms=20&count=1000000");
-    let mut feed = caller.feed(&Call::new(path, "token-screens")).await?;
+    let mut feed = caller.feed(&Call::new(path, token)).await?;
     let log = Rc::new(RefCell::new(FeedLog::default()));
     let follow = {
         let (log, service) = (log.clone(), format!("service={service}"));
