fix(node): spread changes that fit no datagram; watch by rank

Cause: a change longer than a datagram (a node with a long certificate chain) was neither pushed nor answered to a pull, so that only processes that watch the platform got it: at 6,490 processes and 24 watchers that misses 15 s. Change: such a change is announced, and a pull that brings nothing for 250 ms is followed by a sync over TCP. The duty to watch is now by rank among the members, so that there are exactly as many watchers as set (it was a share of the fleet by chance, none at all in e^-24 of terms, and far more often in a small fleet); `watchers` is a process setting, so that a test can have one.

--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -239,6 +239,12 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns a ping that shows this process's digest; no answer to it is waited for.
+    #[must_use]
+    pub fn announcement(&self) -> Probe {
+        Probe::Ping { seq: ABOUT_SEQ, digest: self.digest(), about_you: None }
+    }
+
     /// Returns a peer whose records differ, at most once per 20 s.
     pub fn take_wants_sync(&mut self) -> Option<SocketAddrV4> {
         self.wants_sync.take()
--- a/crates/dillmill-node/src/config.rs
+++ b/crates/dillmill-node/src/config.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 
-use dillmill_core::{Secret, ServiceName, VmName, ZoneName};
+use dillmill_core::{Secret, ServiceName, VmName, ZoneName, watch_duty};
 use dillmill_settings::yaml;
 use dillmill_wire::ClusterKey;
 use error_stack::Report;
@@ -49,6 +49,9 @@
     /// Control addresses of processes to join through; some may be gone.
     #[serde(default)]
     pub peers: Vec<SocketAddrV4>,
+    /// Processes of the whole fleet that hold a watch at the platform; the same everywhere.
+    #[serde(default = "default_watchers")]
+    pub watchers: usize,
     /// Least level that is logged.
     #[serde(default)]
     pub log: LogLevel,
@@ -60,6 +63,10 @@
     pub agent: Option<AgentConfig>,
 }
 
+fn default_watchers() -> usize {
+    watch_duty::WATCHERS
+}
+
 /// What only a balancer needs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -110,6 +117,9 @@
         if config.control == config.data {
             return refuse("data", format!("{} is the control address too", config.data));
         }
+        if config.watchers == 0 {
+            return refuse("watchers", "at least 1 process must watch the platform".to_owned());
+        }
         if !config.platform.starts_with("http://") {
             return refuse(
                 "platform",
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use compio::net::UdpSocket;
-use dillmill_core::membership::Outgoing;
+use dillmill_core::membership::{FANOUT, Outgoing};
 use dillmill_core::{
     Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
 };
@@ -21,6 +21,8 @@
 const RECENT_CHANGES: usize = 128;
 const CHANGES_PER_DATAGRAM: usize = 8;
 const MAX_DATAGRAM: usize = 8 * 1024;
+const MAX_CHANGES_TEXT: usize = 6 * 1024;
+const PULL_PATIENCE: Duration = Duration::from_millis(250);
 const ASK_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Everything that the control task takes in.
@@ -111,6 +113,7 @@
     pub(crate) inlets: Option<Inlets>,
     pub(crate) subscribers: Vec<flume::Sender<Arc<View>>>,
     pub(crate) asks: HashMap<u64, (flume::Sender<Reply>, Timestamp)>,
+    pub(crate) pulled: Option<(Revision, SocketAddrV4, Timestamp)>,
     pub(crate) platform_reachable: bool,
     pub(crate) shown: Option<(u64, Revision)>,
 }
@@ -133,6 +136,7 @@
             inlets: None,
             subscribers: Vec::new(),
             asks: HashMap::new(),
+            pulled: None,
             platform_reachable: false,
             shown: None,
         }
@@ -244,18 +248,34 @@
             if digest.revision.0 - self.tree.revision.0 > CHANGES_PER_DATAGRAM as u64 {
                 self.sync_with(from);
             } else {
-                self.send(from, &Message::Pull { after: self.tree.revision }).await;
+                let after = self.tree.revision;
+                self.pulled.get_or_insert((after, from, self.handle.clock.now()));
+                self.send(from, &Message::Pull { after }).await;
             }
         }
     }
 
+    /// Changes that a peer has and that don't come by datagram, lost or too long, come by stream.
+    fn sync_if_pull_failed(&mut self, now: Timestamp) {
+        let Some((after, peer, at)) = self.pulled else { return };
+        if after < self.tree.revision {
+            self.pulled = None;
+        } else if now.since(at) >= PULL_PATIENCE {
+            self.pulled = None;
+            self.sync_with(peer);
+        }
+    }
+
     async fn send_changes(&mut self, to: SocketAddrV4, after: Revision) {
         let changes: Vec<Change> = self
             .recent
             .iter()
             .filter(|change| change.revision > after)
             .take(CHANGES_PER_DATAGRAM)
-            .cloned()
+            .scan(0, |length, change| {
+                *length += change.text.as_ref().map_or(0, String::len);
+                (*length <= MAX_CHANGES_TEXT).then(|| change.clone())
+            })
             .collect();
         let follows = changes.first().is_some_and(|change| change.revision == after.next());
         if follows {
@@ -315,13 +335,16 @@
         }
     }
 
+    /// Passes new changes on at once; peers pull what does not fit a datagram.
     async fn push_changes(&mut self, changes: Vec<Change>) {
-        if changes.is_empty() || changes.len() > CHANGES_PER_DATAGRAM {
-            return;
-        }
-        let peers =
-            with_draw(|draw| self.membership.random_peers(dillmill_core::membership::FANOUT, draw));
-        let message = Message::Changes(changes);
+        let length: usize = changes.iter().filter_map(|c| c.text.as_ref()).map(String::len).sum();
+        let fits = changes.len() <= CHANGES_PER_DATAGRAM && length <= MAX_CHANGES_TEXT;
+        let message = if fits && !changes.is_empty() {
+            Message::Changes(changes)
+        } else {
+            Message::Probe(self.membership.announcement())
+        };
+        let peers = with_draw(|draw| self.membership.random_peers(FANOUT, draw));
         for to in peers {
             self.send(to, &message).await;
         }
@@ -332,6 +355,7 @@
         self.send_all(out).await;
         self.asks.retain(|_, (_, at)| now.since(*at) < ASK_LIFETIME);
         self.sync_if_wanted();
+        self.sync_if_pull_failed(now);
     }
 
     fn sync_if_wanted(&mut self) {
--- a/crates/dillmill-node/src/store_task.rs
+++ b/crates/dillmill-node/src/store_task.rs
@@ -16,7 +16,7 @@
 const OFF_DUTY: Duration = Duration::from_secs(1);
 
 /// Reads changes for as long as the process lives.
-pub(crate) async fn run(store: SettingsStore, handle: NodeHandle) {
+pub(crate) async fn run(store: SettingsStore, handle: NodeHandle, watchers: usize) {
     let views = handle.views();
     let mut view = None;
     let mut pause = RETRY_MIN;
@@ -29,7 +29,7 @@
             }
             continue;
         };
-        if !on_duty(current, &handle) && current.revision() > Revision(0) {
+        if !on_duty(current, &handle, watchers) && current.revision() > Revision(0) {
             compio::time::sleep(OFF_DUTY).await;
             continue;
         }
@@ -49,9 +49,10 @@
     }
 }
 
-fn on_duty(view: &Arc<View>, handle: &NodeHandle) -> bool {
-    let fleet = view.members.iter().filter(|m| m.status != MemberStatus::Down).count();
-    watch_duty::watches(view.me.process, fleet, handle.clock.now())
+fn on_duty(view: &Arc<View>, handle: &NodeHandle, watchers: usize) -> bool {
+    let alive = view.members.iter().filter(|m| m.status != MemberStatus::Down);
+    let others = alive.map(|m| m.process);
+    watch_duty::watches(view.me.process, others, watchers, handle.clock.now())
 }
 
 async fn read(store: &SettingsStore, have: Revision, handle: &NodeHandle) -> Result<(), String> {
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -73,6 +73,8 @@
     pub seed: u64,
     /// Least level that processes log.
     pub log: String,
+    /// Processes that watch the platform.
+    pub watchers: usize,
 }
 
 impl Default for ClusterSpec {
@@ -84,6 +86,7 @@
             root_extra: String::new(),
             seed: 1,
             log: "info".to_owned(),
+            watchers: 24,
         }
     }
 }
@@ -366,10 +369,12 @@
         let admin = self.ports.take(ip)?;
         let text = format!(
             "vm: {name}\nzone: zone-1\ncontrol: {control}\ndata: {data}\nadmin: {admin}\n\
-             platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nlog: {}\n{section}",
+             platform: http://{}\ncluster_key: \"{CLUSTER_KEY}\"\npeers: [{}]\nlog: {}\n\
+             watchers: {}\n{section}",
             self.platform,
             self.peers().join(", "),
             if std::env::var_os(KEEP_LOGS).is_some() { "debug" } else { &self.spec.log },
+            self.spec.watchers,
         );
         let file = self.dir.path().join(format!("{name}.yaml"));
         std::fs::write(&file, text).map_err(StandinError::at("write settings"))?;
--- a/crates/dillmill-standins/src/load.rs
+++ b/crates/dillmill-standins/src/load.rs
@@ -116,6 +116,7 @@
         root_extra: operation,
         seed: spec.seed,
         log: "warn".to_owned(),
+        ..ClusterSpec::default()
     };
     Ok((spec, slots))
 }
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -43,6 +43,9 @@
         /// Seed of the fabric.
         #[arg(key)]
         seed: Option<u64>,
+        /// Processes that watch the platform.
+        #[arg(key)]
+        watchers: Option<usize>,
         /// Operation of all services, as YAML.
         #[arg(key)]
         operation: Option<String>,
@@ -195,6 +198,15 @@
         /// YAML.
         text: String,
     },
+    /// Writes a node with a long comment. Example: `set_long groups/new "tokens: []" 20000`.
+    SetLong {
+        /// Node.
+        path: String,
+        /// YAML.
+        text: String,
+        /// Length of the comment, in bytes.
+        bytes: usize,
+    },
     /// Runs `dillmillctl` and prints its exit code and output.
     Ctl(Vec<String>),
     /// Waits until the newest revision is in force everywhere.
@@ -422,7 +434,8 @@
 }
 
 fn spec(step: &Step) -> ClusterSpec {
-    let Step::Start { balancers, cotiza, cuadre, slots, seed, operation, limits } = step else {
+    let Step::Start { balancers, cotiza, cuadre, slots, seed, watchers, operation, limits } = step
+    else {
         return ClusterSpec::default();
     };
     let slots = slots.unwrap_or(5);
@@ -441,6 +454,7 @@
         services,
         root_extra,
         seed: seed.unwrap_or(1),
+        watchers: watchers.unwrap_or(24),
         ..ClusterSpec::default()
     }
 }
@@ -509,6 +523,10 @@
             cluster.target_rules(name, &rules).await?;
         }
         Step::Set { path, text } => return cluster.set(path, text),
+        Step::SetLong { path, text, bytes } => {
+            let line = format!("# {}\n", "-".repeat(97));
+            return cluster.set(path, &format!("{text}\n{}", line.repeat(bytes / line.len())));
+        }
         Step::Ctl(args) => {
             let args: Vec<&str> = args.iter().map(String::as_str).collect();
             let output = cluster.ctl(&args)?;
