--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -10,13 +10,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::runtime::Runtime;
+use compio::runtime::{JoinHandle, Runtime};
 use goldenscript::{Command, Context};
 
 use crate::caller::Call;
 use crate::platform::PlatformFaults;
 use crate::target::TargetRules;
-use crate::traffic::{FeedLog, Traffic, Verdicts, ask, feed, key_runs, traffic};
+use crate::traffic::{FeedLog, Traffic, Verdict, Verdicts, ask, ask_on, feed, key_runs, traffic};
 use crate::{Cluster, ClusterSpec, ServiceSpec, StandinError};
 
 const SETTLE_LIMIT: Duration = Duration::from_secs(20);
@@ -92,6 +92,21 @@
         /// Key.
         key: String,
     },
+    /// Makes many requests at once in the background. Example: `flood cotiza 300 group=screens ms=20`.
+    Flood {
+        /// Service.
+        service: String,
+        /// Requests.
+        n: usize,
+        /// Group.
+        #[arg(key)]
+        group: String,
+        /// Time that each takes at the target.
+        #[arg(key)]
+        ms: u64,
+    },
+    /// Waits for the end of the flood and prints what became of it.
+    EndFlood,
     /// Opens a long feed. Example: `feed f1 cotiza`.
     Feed {
         /// Name.
@@ -245,6 +260,7 @@
     traffic: BTreeMap<String, Rc<RefCell<Traffic>>>,
     waiting: Vec<Rc<RefCell<Option<Verdicts>>>>,
     frozen: Option<String>,
+    flood: Vec<JoinHandle<Verdict>>,
 }
 
 impl ScenarioRunner {
@@ -261,6 +277,7 @@
             traffic: BTreeMap::new(),
             waiting: Vec::new(),
             frozen: None,
+            flood: Vec::new(),
         })
     }
 }
@@ -301,6 +318,11 @@
                 self.feeds.insert(name.clone(), log);
                 Ok(format!("{name} open\n"))
             }
+            Step::Flood { service, n, group, ms } => {
+                self.flood = flood(cluster, service, *n, group, *ms).await?;
+                Ok(String::new())
+            }
+            Step::EndFlood => self.end_flood().await,
             Step::Feeds => self.show_feeds().await,
             Step::Traffic { name, service, every, ms } => {
                 let every = Duration::from_millis(every.unwrap_or(10));
@@ -391,6 +413,21 @@
         Ok(verdicts.to_string())
     }
 
+    async fn end_flood(&mut self) -> Result<String, StandinError> {
+        let mut verdicts = Verdicts::default();
+        for one in self.flood.drain(..) {
+            verdicts.add(one.await.unwrap_or(Verdict::Broken));
+        }
+        let some = |n: usize| if n > 0 { "some" } else { "none" };
+        Ok(format!(
+            "{} whole, {} told to come back, {} unknown, {} broken\n",
+            some(verdicts.whole),
+            some(verdicts.not_run),
+            verdicts.unknown,
+            verdicts.broken,
+        ))
+    }
+
     async fn show_background(&mut self) -> Result<String, StandinError> {
         let mut out = String::new();
         for waiting in self.waiting.drain(..) {
@@ -475,6 +512,31 @@
     Ok(verdicts)
 }
 
+const FLOOD_FLOWS: usize = 12;
+
+async fn flood(
+    cluster: &Cluster,
+    service: &str,
+    n: usize,
+    group: &str,
+    ms: u64,
+) -> Result<Vec<JoinHandle<Verdict>>, StandinError> {
+    let call = Call::new(format!("/run?service={service}&ms={ms}"), format!("token-{group}"));
+    let mut flows = Vec::new();
+    for _ in 0..FLOOD_FLOWS {
+        flows.push(cluster.caller(service).await?);
+    }
+    let mut requests = Vec::new();
+    for i in 0..n {
+        let mut caller = flows[i % flows.len()].share();
+        let (call, service) = (call.clone(), service.to_owned());
+        requests.push(compio::runtime::spawn(async move {
+            ask_on(&mut caller, &service, &call).await.unwrap_or(Verdict::Broken)
+        }));
+    }
+    Ok(requests)
+}
+
 /// Steps that change processes, settings or faults.
 async fn change(cluster: &mut Cluster, step: &Step) -> Result<String, StandinError> {
     match step {
