fix(agent): give a new target's slots at once

Cause of the one "not run" in flows_settings (1 of 6 parallel runs): an agent says that it serves as soon as its target accepts a connection, but its slots were set by the next tick, up to 20 ms later; a request in between was refused as if the target took no work. Ruled out: a lost copy of a claim (no such cause in the logs), the target's own shedding (0 shed). Now the slots count at once, and an agent without slots passes a request to a sibling it has not heard of yet rather than refuse it.

--- a/crates/dillmill-agent/src/desk.rs
+++ b/crates/dillmill-agent/src/desk.rs
@@ -220,6 +220,8 @@
                     self.warm_since = Some(now);
                 }
                 self.reachable = reachable;
+                // The slots count at once: others send work as soon as they hear of it.
+                self.tick(now);
             }
             Input::Close => {
                 self.closed = true;
@@ -262,7 +264,7 @@
         let place = with_draw(|draw| self.siblings.place(policy, own, now, draw));
         match place {
             Place::Sibling { process, control } => Some(RingMember { process, control }),
-            Place::Here if elsewhere => self.unheard_sibling(),
+            Place::Here if own.slots.0 == 0 => self.unheard_sibling(),
             Place::Here => None,
         }
     }
