--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -16,7 +16,11 @@
 
 use crate::handle::{Inlets, NodeHandle, Question, with_draw};
 use crate::views::ViewSender;
-use crate::{Handed, View, client};
+use crate::{View, client};
+
+mod input;
+
+pub(crate) use input::Input;
 
 const TIMELINE_CAPACITY: usize = 4096;
 const RECENT_CHANGES: usize = 128;
@@ -26,82 +30,6 @@
 const PULL_PATIENCE: Duration = Duration::from_millis(250);
 const ASK_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Everything that the control task takes in.
-#[derive(Debug)]
-pub(crate) enum Input {
-    /// A datagram of a process.
-    Datagram {
-        /// Its sender.
-        from: SocketAddrV4,
-        /// Its content.
-        message: Message,
-    },
-    /// A question on a TCP connection.
-    Stream {
-        /// The question.
-        message: StreamMessage,
-        /// Takes the answer.
-        tx: flume::Sender<StreamMessage>,
-    },
-    /// A request handed over on a TCP connection.
-    Handed(Box<Handed>),
-    /// Time passes.
-    Tick,
-    /// A task wants views.
-    Subscribe(ViewSender),
-    /// A role says where questions go.
-    Inlets(Inlets),
-    /// Send a datagram.
-    Send {
-        /// Receiver.
-        to: SocketAddrV4,
-        /// Content.
-        message: Message,
-    },
-    /// Take the reply to a question that is sent under this number.
-    Await {
-        /// Number of the question.
-        id: u64,
-        /// Takes the reply.
-        tx: flume::Sender<Reply>,
-    },
-    /// Changes or a tree, from the platform or a peer.
-    Settings {
-        /// Where they came from.
-        source: String,
-        /// Consecutive changes.
-        changes: Vec<Change>,
-        /// A whole tree.
-        tree: Option<Tree>,
-    },
-    /// Member records from a peer.
-    Members(Vec<Member>),
-    /// An event of another task.
-    Event {
-        /// When.
-        now: Timestamp,
-        /// Kind.
-        kind: EventKind,
-        /// What.
-        what: String,
-        /// Why.
-        cause: String,
-    },
-    /// Whether the platform answered.
-    Platform {
-        /// It did.
-        reachable: bool,
-        /// What it said.
-        cause: String,
-    },
-    /// Take no new work.
-    Leave,
-    /// Take new work.
-    Serve,
-    /// The process ends.
-    Stopped(flume::Sender<()>),
-}
-
 /// The state of the control task.
 pub(crate) struct Control {
     pub(crate) handle: NodeHandle,
--- /dev/null
+++ b/crates/dillmill-node/src/control/input.rs
@@ -0,0 +1,87 @@
+//! Everything that the control task takes in.
+
+use std::net::SocketAddrV4;
+
+use dillmill_core::{EventKind, Member, Timestamp};
+use dillmill_settings::{Change, Tree};
+use dillmill_wire::{Message, Reply, StreamMessage};
+
+use crate::Handed;
+use crate::handle::Inlets;
+use crate::views::ViewSender;
+
+/// Everything that the control task takes in.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// A datagram of a process.
+    Datagram {
+        /// Its sender.
+        from: SocketAddrV4,
+        /// Its content.
+        message: Message,
+    },
+    /// A question on a TCP connection.
+    Stream {
+        /// The question.
+        message: StreamMessage,
+        /// Takes the answer.
+        tx: flume::Sender<StreamMessage>,
+    },
+    /// A request handed over on a TCP connection.
+    Handed(Box<Handed>),
+    /// Time passes.
+    Tick,
+    /// A task wants views.
+    Subscribe(ViewSender),
+    /// A role says where questions go.
+    Inlets(Inlets),
+    /// Send a datagram.
+    Send {
+        /// Receiver.
+        to: SocketAddrV4,
+        /// Content.
+        message: Message,
+    },
+    /// Take the reply to a question that is sent under this number.
+    Await {
+        /// Number of the question.
+        id: u64,
+        /// Takes the reply.
+        tx: flume::Sender<Reply>,
+    },
+    /// Changes or a tree, from the platform or a peer.
+    Settings {
+        /// Where they came from.
+        source: String,
+        /// Consecutive changes.
+        changes: Vec<Change>,
+        /// A whole tree.
+        tree: Option<Tree>,
+    },
+    /// Member records from a peer.
+    Members(Vec<Member>),
+    /// An event of another task.
+    Event {
+        /// When.
+        now: Timestamp,
+        /// Kind.
+        kind: EventKind,
+        /// What.
+        what: String,
+        /// Why.
+        cause: String,
+    },
+    /// Whether the platform answered.
+    Platform {
+        /// It did.
+        reachable: bool,
+        /// What it said.
+        cause: String,
+    },
+    /// Take no new work.
+    Leave,
+    /// Take new work.
+    Serve,
+    /// The process ends.
+    Stopped(flume::Sender<()>),
+}
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -1,8 +1,8 @@
 //! dillmill and its surroundings as processes on loopback.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -21,6 +21,12 @@
 use crate::target::{TargetCounts, TargetRules};
 use crate::{Caller, StandinError};
 
+mod ports;
+mod spec;
+
+use ports::Ports;
+pub use spec::{ClusterSpec, ServiceSpec};
+
 /// Key of the installation on loopback.
 pub const CLUSTER_KEY: &str = "6b6579206f6620746865206c6f6f706261636b20696e7374616c6c6174696f6e";
 /// Secret of the first flow key on loopback.
@@ -30,67 +36,6 @@
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(25);
 
-/// A service of a cluster.
-#[derive(Debug, Clone)]
-pub struct ServiceSpec {
-    /// Name.
-    pub name: String,
-    /// Targets, each with an agent.
-    pub targets: usize,
-    /// Slots of each target.
-    pub slots: usize,
-    /// Further lines of the service's node.
-    pub extra: String,
-}
-
-impl ServiceSpec {
-    /// Creates a service.
-    #[must_use]
-    pub fn new(name: &str, targets: usize, slots: usize) -> Self {
-        Self { name: name.to_owned(), targets, slots, extra: String::new() }
-    }
-
-    /// Adds lines to the service's node.
-    #[must_use]
-    pub fn extra(mut self, lines: &str) -> Self {
-        lines.clone_into(&mut self.extra);
-        self
-    }
-}
-
-/// What a cluster consists of.
-#[derive(Debug, Clone)]
-pub struct ClusterSpec {
-    /// Balancers.
-    pub balancers: usize,
-    /// Services.
-    pub services: Vec<ServiceSpec>,
-    /// Groups with their weights; the token of group `g` is `token-g`.
-    pub groups: Vec<(String, u16)>,
-    /// Further lines of the root node.
-    pub root_extra: String,
-    /// Seed of the fabric's choices.
-    pub seed: u64,
-    /// Least level that processes log.
-    pub log: String,
-    /// Processes that watch the platform.
-    pub watchers: usize,
-}
-
-impl Default for ClusterSpec {
-    fn default() -> Self {
-        Self {
-            balancers: 3,
-            services: vec![ServiceSpec::new("cotiza", 2, 5), ServiceSpec::new("cuadre", 2, 5)],
-            groups: vec![("tellers".to_owned(), 10), ("screens".to_owned(), 10)],
-            root_extra: String::new(),
-            seed: 1,
-            log: "info".to_owned(),
-            watchers: 24,
-        }
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Service {
     name: String,
@@ -144,25 +89,6 @@
     pub err: String,
 }
 
-/// Ports given out, so that none is given out twice: the kernel may offer one again as long as its
-/// process has not bound it.
-#[derive(Debug, Default)]
-struct Ports(BTreeSet<SocketAddr>);
-
-impl Ports {
-    /// Returns an address on `ip` whose port is free for TCP and UDP.
-    fn take(&mut self, ip: IpAddr) -> Result<SocketAddr, StandinError> {
-        for _ in 0..1000 {
-            let tcp = TcpListener::bind((ip, 0)).map_err(StandinError::at("find a port"))?;
-            let addr = tcp.local_addr().map_err(StandinError::at("find a port"))?;
-            if UdpSocket::bind(addr).is_ok() && self.0.insert(addr) {
-                return Ok(addr);
-            }
-        }
-        Err(StandinError::new("find a port", "none is free"))
-    }
-}
-
 fn certificate() -> Result<(String, String), StandinError> {
     let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()])
         .map_err(StandinError::at("make certificate"))?;
@@ -628,7 +554,12 @@
         self.get_json(self.platform, "/standin/counts").await
     }
 
-    fn target(&self, name: &str) -> Result<SocketAddr, StandinError> {
+    /// Returns the address of a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of this name.
+    pub fn target(&self, name: &str) -> Result<SocketAddr, StandinError> {
         let found = self.targets.get(name).copied();
         found.ok_or_else(|| StandinError::new("find target", format!("no {name}")))
     }
--- a/crates/dillmill-standins/src/command.rs
+++ b/crates/dillmill-standins/src/command.rs
@@ -18,7 +18,7 @@
        dillmill-standins forwarder --listen ADDR --to ADDR
        dillmill-standins load [--deployment kiosks|ristebud] [--placement POLICY]
                [--load SHARE] [--flood SHARE] [--seconds N] [--feeds N] [--seed N]
-               [--kill-balancer] [--stop-agent]
+               [--kill-balancer] [--stop-agent] [--straight]
        dillmill-standins report FILE...
        dillmill-standins packets
        dillmill-standins idle --balancers N --targets N [--changes N]
@@ -54,6 +54,7 @@
     opts.optopt("", "feeds", "long feeds", "N");
     opts.optflag("", "kill-balancer", "kill a balancer in the middle");
     opts.optflag("", "stop-agent", "stop an agent as planned in the middle");
+    opts.optflag("", "straight", "ask the targets past dillmill: the baseline");
     opts.optflag("h", "help", "show this help");
     let matches = opts.parse(args).map_err(StandinError::at("read command line"))?;
     if matches.opt_present("help") {
@@ -141,5 +142,6 @@
         seed: number(matches, "seed", 1)?,
         kill_balancer: matches.opt_present("kill-balancer"),
         stop_agent: matches.opt_present("stop-agent"),
+        straight: matches.opt_present("straight"),
     })
 }
--- a/crates/dillmill-standins/src/load.rs
+++ b/crates/dillmill-standins/src/load.rs
@@ -1,6 +1,6 @@
 //! Open-loop load on the users' deployments, with one JSON result a run.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,8 @@
 use crate::usage::Usage;
 use crate::{Caller, Cluster, ClusterSpec, ServiceSpec, StandinError};
 
+/// Delay of each packet at the fabric, each way.
+const DELAY: Duration = Duration::from_millis(1);
 const SAMPLE: Duration = Duration::from_millis(50);
 const FLOWS_PER_GROUP: usize = 24;
 const MEAN_SERVICE_MS: f64 = 20.0;
@@ -43,6 +45,9 @@
     pub kill_balancer: bool,
     /// Stop an agent as planned in the middle.
     pub stop_agent: bool,
+    /// The baseline: callers ask the targets themselves in turn, over HTTP/1.1, past dillmill.
+    #[serde(default)]
+    pub straight: bool,
 }
 
 /// What a group saw.
@@ -139,7 +144,9 @@
     let targets = cluster_spec.services[0].targets;
     let groups: Vec<String> = cluster_spec.groups.iter().map(|(g, _)| g.clone()).collect();
     let mut cluster = Box::pin(Cluster::start(cluster_spec)).await?;
-    cluster.fabric_rules(|rules| rules.delay_ms = 1).await?;
+    cluster
+        .fabric_rules(|rules| rules.delay_ms = DELAY.as_millis().try_into().unwrap_or(1))
+        .await?;
     let feeds = open_feeds(&cluster, &service, spec.feeds).await?;
     let measured: Shared = Rc::default();
     #[expect(clippy::cast_precision_loss, reason = "a few slots")]
@@ -148,6 +155,7 @@
     let started = Instant::now();
     let span = Duration::from_secs(spec.seconds);
     let address = cluster.service_address(&service)?;
+    let straight = if spec.straight { Some(Straight::new(&cluster, &service)?) } else { None };
     let mut sources = Vec::new();
     for (i, group) in (0_u64..).zip(&groups) {
         let share = if i == 0 { spec.flood } else { (1.0 - spec.flood) / 2.0 };
@@ -160,6 +168,7 @@
             seed: spec.seed * 1000 + i,
             span,
             measured: measured.clone(),
+            straight: straight.clone(),
         };
         sources.push(compio::runtime::spawn(source.run()));
     }
@@ -348,6 +357,43 @@
     seed: u64,
     span: Duration,
     measured: Shared,
+    straight: Option<Straight>,
+}
+
+/// Callers that ask the targets themselves.
+#[derive(Debug, Clone)]
+struct Straight {
+    client: cyper::Client,
+    targets: Vec<SocketAddr>,
+    next: Rc<Cell<usize>>,
+}
+
+impl Straight {
+    fn new(cluster: &Cluster, service: &str) -> Result<Self, StandinError> {
+        let names = cluster.target_names().into_iter().filter(|t| t.starts_with(service));
+        let targets = names.map(|name| cluster.target(&name)).collect::<Result<Vec<_>, _>>()?;
+        let client = cyper::Client::new().map_err(StandinError::at("make a client"))?;
+        Ok(Self { client, targets, next: Rc::default() })
+    }
+
+    /// Asks the next target, with the delay that the fabric has in other runs.
+    async fn ask(&self, call: &Call) -> Verdict {
+        let turn = self.next.get();
+        self.next.set(turn + 1);
+        compio::time::sleep(2 * DELAY).await;
+        let url = format!("http://{}{}", self.targets[turn % self.targets.len()], call.path);
+        let answer = async {
+            let response = self.client.get(url)?.send().await?;
+            let status = response.status().as_u16();
+            response.bytes().await.map(|_| status)
+        };
+        match answer.await {
+            Ok(200) => Verdict::Whole,
+            Ok(503) => Verdict::NotRun,
+            Ok(status) => Verdict::Refused(status),
+            Err(_) => Verdict::Broken,
+        }
+    }
 }
 
 impl Source {
@@ -389,9 +435,13 @@
         let (service, group) = (self.service.clone(), self.group.clone());
         let (address, certificate) = (self.address, self.certificate.clone());
         let measured = self.measured.clone();
+        let straight = self.straight.clone();
         async move {
             let started = Instant::now();
             let work = async {
+                if let Some(straight) = &straight {
+                    return Some(straight.ask(&call).await);
+                }
                 loop {
                     let known = flow.borrow().as_ref().map(Caller::share);
                     let mut caller = match known {
