feat(node): let newcomers get their first settings from peers

Change: a process with peers waits up to 1.5 s for them first. Ruled out: a longer wait (an outage of all peers must not hold up a start).

--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -91,7 +91,13 @@
         compio::runtime::spawn(tick(tx)).detach();
         compio::runtime::spawn(admin::serve(admin_listener, handle.clone())).detach();
         let store = SettingsStore::new(platform.clone());
-        compio::runtime::spawn(store_task::run(store, handle.clone(), config.watchers)).detach();
+        compio::runtime::spawn(store_task::run(
+            store,
+            handle.clone(),
+            config.watchers,
+            !config.peers.is_empty(),
+        ))
+        .detach();
         let control = Control::new(handle.clone(), socket, me, config.peers.clone());
         compio::runtime::spawn(control.run(rx)).detach();
         Ok(Self { handle, platform, admin })
--- a/crates/dillmill-node/src/store_task.rs
+++ b/crates/dillmill-node/src/store_task.rs
@@ -8,17 +8,24 @@
 use dillmill_settings::Tree;
 
 use crate::control::Input;
-use crate::{NodeHandle, View};
+use crate::{NodeHandle, View, Views};
 
 const WATCH: Duration = Duration::from_secs(10);
 const RETRY_MIN: Duration = Duration::from_millis(200);
 const RETRY_MAX: Duration = Duration::from_secs(5);
+const PEERS_FIRST: Duration = Duration::from_millis(1500);
 const OFF_DUTY: Duration = Duration::from_secs(1);
 
 /// Reads changes for as long as the process lives.
-pub(crate) async fn run(store: SettingsStore, handle: NodeHandle, watchers: usize) {
+///
+/// A newcomer with `peers` gets its first settings from them if it can: thousands that start at once
+/// would otherwise all read the whole tree from the platform.
+pub(crate) async fn run(store: SettingsStore, handle: NodeHandle, watchers: usize, peers: bool) {
     let views = handle.views();
     let mut view = None;
+    if peers {
+        view = first_from_peers(&views).await;
+    }
     let mut pause = RETRY_MIN;
     loop {
         view = views.newer().or(view);
@@ -49,6 +56,21 @@
     }
 }
 
+async fn first_from_peers(views: &Views) -> Option<Arc<View>> {
+    let mut newest = None;
+    let waiting = async {
+        while let Some(view) = views.next().await {
+            let has_settings = view.revision() > Revision(0);
+            newest = Some(view);
+            if has_settings {
+                return;
+            }
+        }
+    };
+    let _ = compio::time::timeout(PEERS_FIRST, waiting).await;
+    newest
+}
+
 fn on_duty(view: &Arc<View>, handle: &NodeHandle, watchers: usize) -> bool {
     let alive = view.members.iter().filter(|m| m.status != MemberStatus::Down);
     let others = alive.map(|m| m.process);
--- a/crates/dillmill-standins/src/command.rs
+++ b/crates/dillmill-standins/src/command.rs
@@ -22,12 +22,14 @@
        dillmill-standins report FILE...
        dillmill-standins packets
        dillmill-standins idle --balancers N --targets N [--changes N]
+       dillmill-standins flows [--flows N]
        dillmill-standins slopes
 
 `demo` runs everything on loopback, asks some requests and reports. `load` runs a
 deployment of the users under open-loop load and prints one JSON result; `report`
 makes a table of several. `packets` measures a balancer against `forwarder`,
-`slopes` the decisions at the size to come, `idle` what control alone costs.";
+`slopes` the decisions at the size to come, `idle` what control
+alone costs, `flows` what open flows cost.";
 
 /// Runs a command line without the program's name.
 ///
@@ -43,6 +45,7 @@
     opts.optopt("", "cold-ms", "time during which a target is cold", "N");
     opts.optopt("", "seed", "seed of random choices", "N");
     opts.optopt("", "balancers", "balancers", "N");
+    opts.optopt("", "flows", "flows", "N");
     opts.optopt("", "targets", "targets", "N");
     opts.optopt("", "changes", "changes of settings meanwhile", "N");
     opts.optopt("", "to", "where a forwarder sends", "ADDR");
@@ -99,6 +102,7 @@
         }
         Some("packets") => Box::pin(packets::run()).await,
         Some("slopes") => slopes::run(),
+        Some("flows") => Box::pin(idle::flows(number(&matches, "flows", 500)?)).await,
         Some("idle") => {
             let balancers = number(&matches, "balancers", 4)?;
             let targets = number(&matches, "targets", 4)?;
--- a/crates/dillmill-standins/src/idle.rs
+++ b/crates/dillmill-standins/src/idle.rs
@@ -85,3 +85,55 @@
     }
     Ok(totals)
 }
+
+/// Measures what open flows cost an agent and a balancer, and prints one JSON line.
+///
+/// # Errors
+///
+/// Fails when the cluster can't be started or a flow can't be opened.
+#[expect(clippy::cast_precision_loss, reason = "bytes and milliseconds far below 2^52")]
+pub async fn flows(flows: usize) -> Result<(), StandinError> {
+    let spec = ClusterSpec {
+        balancers: 1,
+        services: vec![ServiceSpec::new("cotiza", 1, 5)],
+        log: "warn".to_owned(),
+        ..ClusterSpec::default()
+    };
+    let mut cluster = Box::pin(Cluster::start(spec)).await?;
+    let before = totals(&mut cluster).await?;
+    let mut open = Vec::with_capacity(flows);
+    for _ in 0..flows {
+        open.push(cluster.caller("cotiza").await?);
+    }
+    compio::time::sleep(Duration::from_secs(2)).await;
+    let opened = totals(&mut cluster).await?;
+    compio::time::sleep(SPAN).await;
+    let idle = totals(&mut cluster).await?;
+    let of = |all: &[Total], balancer: bool, value: fn(&Total) -> u64| {
+        all.iter().filter(|t| t.is_balancer == balancer).map(value).sum::<u64>()
+    };
+    let per_flow = |balancer: bool| {
+        let grown =
+            of(&opened, balancer, |t| t.memory).saturating_sub(of(&before, balancer, |t| t.memory));
+        grown as f64 / flows as f64
+    };
+    let core = |balancer: bool| {
+        let used = of(&idle, balancer, |t| t.cpu_ms) - of(&opened, balancer, |t| t.cpu_ms);
+        used as f64 / 1000.0 / SPAN.as_secs_f64()
+    };
+    let handshake = |balancer: bool| {
+        let used = of(&opened, balancer, |t| t.cpu_ms) - of(&before, balancer, |t| t.cpu_ms);
+        used as f64 / flows as f64
+    };
+    let result = json!({
+        "flows": flows,
+        "agent_bytes_per_flow": per_flow(false),
+        "balancer_bytes_per_flow": per_flow(true),
+        "agent_core_idle": core(false),
+        "balancer_core_idle": core(true),
+        "agent_cpu_ms_per_handshake": handshake(false),
+        "balancer_cpu_ms_per_handshake": handshake(true),
+    });
+    println!("{result}");
+    Ok(())
+}
