--- a/crates/dillmill-standins/src/platform.rs
+++ b/crates/dillmill-standins/src/platform.rs
@@ -1,15 +1,18 @@
-//! The platform: keys with versions, compare-and-swap, watches, a lagging list of VMs, and faults
-//! that tests switch on.
+//! The platform: keys with versions, compare-and-swap, leases, watches, a lagging list of VMs, and
+//! faults that tests switch on.
+//!
+//! dillmill itself uses neither leases nor the list: see docs/design/at-most-once.md and
+//! docs/design/membership.md. They are here because the platform has them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
-use axum::routing::get;
+use axum::routing::{get, post, put};
 use axum::{Json, Router};
 use dillmill_platform::{Entry, Version};
 use serde::{Deserialize, Serialize};
@@ -49,6 +52,37 @@
     faults: PlatformFaults,
     counts: PlatformCounts,
     vms: Vec<String>,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+}
+
+/// A lease; entries written under it vanish when it ends.
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+    keys: Vec<String>,
+}
+
+impl Store {
+    /// Takes away the entries of leases that have ended.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        for lease in ended.into_iter().filter_map(|id| self.leases.remove(&id)) {
+            for key in lease.keys {
+                self.entries.remove(&key);
+            }
+        }
+    }
+
+    /// Returns the entry of `key` if its version is not `expect`.
+    fn conflict(&self, key: &str, expect: Version) -> Option<Response> {
+        let there = self.entries.get(key);
+        let differs = there.map_or(Version(0), |entry| entry.version) != expect;
+        differs.then(|| (StatusCode::CONFLICT, Json(there.cloned())).into_response())
+    }
 }
 
 type Shared = Arc<Mutex<Store>>;
@@ -56,6 +90,13 @@
 #[derive(Debug, Deserialize)]
 struct Expect {
     expect: Version,
+    #[serde(default)]
+    lease: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Ttl {
+    ttl_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -65,7 +106,9 @@
 }
 
 fn lock(store: &Shared) -> MutexGuard<'_, Store> {
-    store.lock().unwrap_or_else(PoisonError::into_inner)
+    let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
+    store.expire();
+    store
 }
 
 /// Serves the platform on `addr` until the process ends.
@@ -77,6 +120,8 @@
     let router = Router::new()
         .route("/v1/kv/{*key}", get(read).put(write).delete(delete))
         .route("/v1/watch/{*key}", get(watch))
+        .route("/v1/leases", post(open_lease))
+        .route("/v1/leases/{id}", put(keep_lease).delete(end_lease))
         .route("/v1/vms", get(vms).put(set_vms))
         .route("/standin/faults", get(faults).put(set_faults))
         .route("/standin/counts", get(counts))
@@ -108,7 +153,7 @@
 async fn write(
     State(store): State<Shared>,
     Path(key): Path<String>,
-    Query(Expect { expect }): Query<Expect>,
+    Query(Expect { expect, lease }): Query<Expect>,
     value: String,
 ) -> Response {
     if let Some(failed) = hit(&store).await {
@@ -116,9 +161,14 @@
     }
     let mut store = lock(&store);
     store.counts.writes += 1;
-    let there = store.entries.get(&key).cloned();
-    if there.as_ref().map_or(Version(0), |entry| entry.version) != expect {
-        return (StatusCode::CONFLICT, Json(there)).into_response();
+    if let Some(conflict) = store.conflict(&key, expect) {
+        return conflict;
+    }
+    if let Some(id) = lease {
+        match store.leases.get_mut(&id) {
+            Some(lease) => lease.keys.push(key.clone()),
+            None => return StatusCode::GONE.into_response(),
+        }
     }
     store.last_version += 1;
     let version = Version(store.last_version);
@@ -133,16 +183,15 @@
 async fn delete(
     State(store): State<Shared>,
     Path(key): Path<String>,
-    Query(Expect { expect }): Query<Expect>,
+    Query(Expect { expect, .. }): Query<Expect>,
 ) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
     let mut store = lock(&store);
     store.counts.writes += 1;
-    let there = store.entries.get(&key).cloned();
-    if there.as_ref().map_or(Version(0), |entry| entry.version) != expect {
-        return (StatusCode::CONFLICT, Json(there)).into_response();
+    if let Some(conflict) = store.conflict(&key, expect) {
+        return conflict;
     }
     store.entries.remove(&key);
     Json(Version(0)).into_response()
@@ -173,6 +222,46 @@
     answer
 }
 
+async fn open_lease(State(store): State<Shared>, Query(Ttl { ttl_ms }): Query<Ttl>) -> Response {
+    if let Some(failed) = hit(&store).await {
+        return failed;
+    }
+    let mut store = lock(&store);
+    store.counts.writes += 1;
+    store.last_lease += 1;
+    let id = store.last_lease;
+    let ttl = Duration::from_millis(ttl_ms);
+    store.leases.insert(id, Lease { ttl, ends: Instant::now() + ttl, keys: Vec::new() });
+    Json(id).into_response()
+}
+
+async fn keep_lease(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
+    if let Some(failed) = hit(&store).await {
+        return failed;
+    }
+    let mut store = lock(&store);
+    store.counts.writes += 1;
+    match store.leases.get_mut(&id) {
+        Some(lease) => {
+            lease.ends = Instant::now() + lease.ttl;
+            StatusCode::OK.into_response()
+        }
+        None => StatusCode::GONE.into_response(),
+    }
+}
+
+async fn end_lease(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
+    if let Some(failed) = hit(&store).await {
+        return failed;
+    }
+    let mut store = lock(&store);
+    store.counts.writes += 1;
+    if let Some(lease) = store.leases.get_mut(&id) {
+        lease.ends = Instant::now();
+    }
+    StatusCode::OK.into_response()
+}
+
 async fn vms(State(store): State<Shared>) -> Json<Vec<String>> {
     Json(lock(&store).vms.clone())
 }
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -103,7 +103,10 @@
                 }
                 Ok(String::new())
             }
-            Step::Feeds => self.show_feeds().await,
+            Step::Feeds { within } => {
+                let limit = within.map_or(SETTLE_LIMIT, Duration::from_millis);
+                self.show_feeds(limit).await
+            }
             Step::Traffic { name, service, every, ms } => {
                 let every = Duration::from_millis(every.unwrap_or(10));
                 let started = traffic(cluster, service, every, ms.unwrap_or(2))?;
@@ -223,10 +226,10 @@
         Ok(out)
     }
 
-    async fn show_feeds(&self) -> Result<String, StandinError> {
+    async fn show_feeds(&self, limit: Duration) -> Result<String, StandinError> {
         let before: Vec<u64> = self.feeds.values().map(|f| f.borrow().ticks).collect();
         let begun = Instant::now();
-        while begun.elapsed() < SETTLE_LIMIT {
+        while begun.elapsed() < limit {
             let moved = self.feeds.values().zip(&before).all(|(feed, before)| {
                 let feed = feed.borrow();
                 feed.ended.is_some() || feed.ticks >= before + 3
--- a/crates/dillmill-standins/src/scenario/step.rs
+++ b/crates/dillmill-standins/src/scenario/step.rs
@@ -95,8 +95,12 @@
     },
     /// Ends a feed by closing its caller's flow.
     CloseFeed(String),
-    /// Prints the state of all feeds after each got some more ticks.
-    Feeds,
+    /// Prints the state of all feeds once each got some more ticks, or did not in time.
+    Feeds {
+        /// Longest wait, in milliseconds.
+        #[arg(key)]
+        within: Option<u64>,
+    },
     /// Starts traffic with keys in the background. Example: `traffic t1 cotiza every=10`.
     Traffic {
         /// Name.
--- /dev/null
+++ b/crates/dillmillctl/tests/command_line.rs
@@ -0,0 +1,66 @@
+//! The command line of `dillmillctl`, where no platform is needed.
+
+use std::process::Command;
+
+use rstest::rstest;
+
+fn run(args: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_dillmillctl")).args(args).output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
+}
+
+#[rstest]
+#[case("check")]
+#[case("get")]
+#[case("set")]
+#[case("edit")]
+#[case("delete")]
+#[case("diff")]
+#[case("effective")]
+#[case("history")]
+#[case("status")]
+#[case("timeline")]
+fn verbs_explained(#[case] verb: &str) {
+    let (code, said) = run(&[verb, "--help"]);
+    assert_eq!(code, 0);
+    assert!(said.starts_with(&format!("Usage: dillmillctl {verb}")), "{said}");
+    assert!(run(&["--help"]).1.contains(verb));
+}
+
+#[rstest]
+#[case::nothing(&[], "name a verb")]
+#[case::no_verb(&["paint"], "`paint` is no verb")]
+#[case::bad_path(&["get", "targets/x"], "no place in the tree")]
+#[case::missing_file(&["set", "root"], "wrong arguments for `set`")]
+#[case::bad_value(&["edit", "root", "limits"], "not KEY=VALUE")]
+#[case::bad_wait(&["status", "--wait", "soon"], "not a length of time")]
+#[case::no_config(&["get", "--config", "/nowhere.yaml"], "read /nowhere.yaml")]
+fn wrong_lines_refused(#[case] args: &[&str], #[case] expected: &str) {
+    let (code, said) = run(args);
+    assert_eq!(code, 2, "{said}");
+    assert!(said.contains(expected), "{said}");
+}
+
+#[test]
+fn wrong_config_refused() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("ctl.yaml");
+    std::fs::write(&file, "platform: http://127.0.0.1:1\ncluster: x\n").unwrap();
+    let (code, said) = run(&["get", "--config", &file.display().to_string()]);
+    assert_eq!(code, 2);
+    assert!(said.contains("ctl.yaml:2"), "{said}");
+}
+
+#[test]
+fn dead_platform_reported() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("ctl.yaml");
+    let key = "00".repeat(32);
+    // Port 1 of loopback: nothing listens there.
+    let text = format!("platform: http://127.0.0.1:1\ncluster_key: \"{key}\"\n");
+    std::fs::write(&file, text).unwrap();
+    let (code, said) = run(&["get", "--config", &file.display().to_string()]);
+    assert_eq!(code, 1, "{said}");
+    assert!(said.contains("127.0.0.1:1"), "{said}");
+}
