test: sharpen scripts that could not fail

Cause: trials on a scratch copy. Without drain, leave_agent and leave_feed stayed green (their requests and their look at the feed ended within the 2 s that an agent takes work anyway); first come, first served left limits_flood green (the other group's wait was allowed to be longer than the flood's queue). New: once_agent_restarted (a newcomer at the same address must not answer for its predecessor).

--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -133,6 +133,12 @@
                 cluster.forget(&agent);
                 Ok(String::new())
             }
+            Step::RestartRunning(service) => {
+                let agent = running_agent(cluster, service).await?;
+                cluster.process(&agent)?.kill();
+                cluster.restart(&agent)?;
+                Ok(String::new())
+            }
             Step::FreezeRunning(service) => {
                 let agent = running_agent(cluster, service).await?;
                 cluster.process(&agent)?.freeze()?;
