--- a/crates/dillmill-agent/src/desk.rs
+++ b/crates/dillmill-agent/src/desk.rs
@@ -9,7 +9,7 @@
 use dillmill_core::placement::{LoadReport, Place, Policy, Siblings};
 use dillmill_core::retry_budget::RetryBudget;
 use dillmill_core::scheduler::{Ask, Offer, Refusal, RequestId, Scheduler};
-use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, Timestamp};
+use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, Timestamp, warm_up};
 use dillmill_node::{NodeHandle, View, Views, with_draw};
 use dillmill_wire::Message;
 
@@ -318,13 +318,7 @@
         if !self.reachable {
             return Slots(0);
         }
-        let warm = now.since(since);
-        if warm >= self.warm_up {
-            return self.full_slots;
-        }
-        let full = u128::from(self.full_slots.0);
-        let part = full * warm.as_millis() / self.warm_up.as_millis().max(1);
-        Slots(u16::try_from(part).unwrap_or(u16::MAX).max(1).min(self.full_slots.0))
+        warm_up::slots(self.full_slots, self.warm_up, since, now)
     }
 
     fn report(&self) -> LoadReport {
--- a/crates/dillmill-core/src/claims/answer.rs
+++ b/crates/dillmill-core/src/claims/answer.rs
@@ -35,7 +35,7 @@
 pub enum Claim {
     /// The answer is known.
     Answer(ClaimAnswer),
-    /// Ask these first, then call [`ClaimLedger::consulted`].
+    /// Ask these first, then call [`ClaimLedger::consulted`](super::ClaimLedger::consulted).
     Consult(Vec<RingMember>),
 }
 
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`claims`] | whether a request that may not be repeated may be dispatched |
 //! | [`placement`] | which agent of a service runs a request |
 //! | [`retry_budget`] | whether a request may be tried once more |
+//! | [`warm_up`] | how many slots a target that has just started gets |
 //! | [`watch_duty`] | which processes hold a watch at the platform |
 
 pub mod claims;
@@ -28,6 +29,7 @@
 pub mod scheduler;
 pub mod secret;
 pub mod timestamp;
+pub mod warm_up;
 pub mod watch_duty;
 
 pub use event::{Event, EventKind, EventLog};
--- a/crates/dillmill-standins/src/slopes.rs
+++ b/crates/dillmill-standins/src/slopes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use dillmill_core::claims::{ClaimKey, ClaimLedger, Ring, RingMember};
-use dillmill_core::scheduler::{Ask, RequestId, Scheduler};
+use dillmill_core::scheduler::{Ask, Offer, RequestId, Scheduler, Sharing};
 use dillmill_core::{
     FlowId, FlowKey, FlowKeys, GroupName, Home, HomeTable, Member, MemberStatus, Membership,
     ProcessId, Role, Secret, ServiceNumber, Slots, Timestamp, Weight,
@@ -69,6 +69,7 @@
         "settings": settings()?,
         "scheduler": scheduler()?,
         "claims": claims(),
+        "sharing": sharing()?,
     });
     println!("{result:#}");
     Ok(())
@@ -231,6 +232,72 @@
     Ok(json!(rows))
 }
 
+/// Compares ways of sharing slots in virtual time: one group floods, another asks now and then.
+fn sharing() -> Result<Value, StandinError> {
+    let mut rows = Vec::new();
+    for (name, sharing) in [("fair", Sharing::Fair), ("arrival-order", Sharing::ArrivalOrder)] {
+        for flooded in [false, true] {
+            let mut waits = virtual_waits(sharing, flooded)?;
+            waits.sort_unstable();
+            let at = |q: usize| waits.get(waits.len() * q / 100).map_or(0, Duration::as_millis);
+            rows.push(json!({
+                "sharing": name,
+                "flooded": flooded,
+                "runs": waits.len(),
+                "wait_p50_ms": at(50),
+                "wait_p99_ms": at(99),
+            }));
+        }
+    }
+    Ok(json!(rows))
+}
+
+/// Returns the waits of the small group over 60 s of a target with 5 slots and runs of 20 ms.
+fn virtual_waits(sharing: Sharing, flooded: bool) -> Result<Vec<Duration>, StandinError> {
+    const RUN: Duration = Duration::from_millis(20);
+    let small: GroupName = "small".parse().map_err(StandinError::at("name"))?;
+    let flood: GroupName = "flood".parse().map_err(StandinError::at("name"))?;
+    let mut scheduler = Scheduler::new(Slots(5)).sharing(sharing);
+    let mut asked: Vec<(bool, Timestamp)> = Vec::new();
+    let mut running: Vec<(RequestId, Timestamp)> = Vec::new();
+    let mut waits = Vec::new();
+    for ms in 0..60_000_u64 {
+        let now = Timestamp::from_millis(1000 + ms);
+        let mut started = Vec::new();
+        let ended: Vec<RequestId> =
+            running.iter().filter(|(_, end)| *end <= now).map(|(id, _)| *id).collect();
+        running.retain(|(_, end)| *end > now);
+        for id in ended {
+            started.extend(scheduler.finish(id, now));
+        }
+        scheduler.expire(now);
+        let offers = [(&small, ms % 40 == 0), (&flood, flooded), (&flood, flooded && ms % 2 == 0)];
+        for (group, _) in offers.iter().filter(|(_, due)| *due) {
+            let id = RequestId(u64::try_from(asked.len()).unwrap_or(u64::MAX));
+            asked.push((*group == &small, now));
+            let ask = Ask {
+                id,
+                group: (*group).clone(),
+                weight: Weight(10),
+                deadline: now + Duration::from_secs(10),
+                max_queue: 64,
+                max_wait: Duration::from_secs(2),
+            };
+            if scheduler.offer(&ask, now) == Offer::Run {
+                started.push(id);
+            }
+        }
+        for id in started {
+            running.push((id, now + RUN));
+            let (is_small, at) = asked[usize::try_from(id.0).unwrap_or(0)];
+            if is_small {
+                waits.push(now.since(at));
+            }
+        }
+    }
+    Ok(waits)
+}
+
 fn claims() -> Value {
     let ring_member = |n: u32| RingMember { process: ProcessId(u64::from(n)), control: addr(n) };
     let ring = (1..=9).fold(Ring::default(), |ring, n| ring.changed(&[ring_member(n)], &[], 0));
