fix(agent): a planned stop waits for requests that run at siblings

An agent that was not in its ring yet, or whose target shed, had handed the request over; it counted only its own slots and feeds, and closed its callers' flows under requests that ran at a sibling. Ruled out: h3 ending the connection by itself (its accept returns None only when all requests are done). Change: all requests not answered yet are counted, wherever they run, and the stop waits for them.

--- a/crates/dillmill-agent/src/agent.rs
+++ b/crates/dillmill-agent/src/agent.rs
@@ -132,8 +132,9 @@
         let mut finished = false;
         while !finished && handle.clock.now().since(started) < limit {
             compio::time::sleep(STOP_POLL).await;
-            let feeds = self.cx.metrics.feeds.get();
-            finished = self.cx.desk.busy().await == 0 && feeds == 0;
+            // Also those that run at a sibling: their callers' flows end here.
+            let open = self.cx.metrics.open_requests.get();
+            finished = self.cx.desk.busy().await == 0 && open == 0;
         }
         let handed = ring_task::hand_over(&self.cx, &self.rings).await;
         let cause = format!(
--- a/crates/dillmill-agent/src/chain.rs
+++ b/crates/dillmill-agent/src/chain.rs
@@ -34,6 +34,7 @@
 
 /// Runs a request and answers it.
 pub async fn run(cx: &AgentContext, req: Request, sink: &mut Sink, closed: Closed) {
+    let _open = Open::new(&cx.metrics.open_requests);
     let work = run_until_answered(cx, req, sink);
     pin_mut!(work);
     // Dropping the work closes the connection to the target or sibling, which cancels there.
@@ -77,7 +78,7 @@
 
 /// A long feed takes a connection and no slot; it ends with its caller or its target.
 async fn stream_feed(cx: &AgentContext, req: &Request, sink: &mut Sink) -> Option<Outcome> {
-    let _open = OpenFeed::new(&cx.metrics.feeds);
+    let _open = Open::new(&cx.metrics.feeds);
     match cx.target.send(req, cx.node.clock.now()).await {
         Ok(response) => {
             cx.metrics.dispatched.inc();
@@ -88,17 +89,17 @@
     }
 }
 
-/// Counts a feed as open until it is dropped, also when its caller goes away.
-struct OpenFeed(IntGauge);
+/// Counts a request as open until it is dropped, also when its caller goes away.
+struct Open(IntGauge);
 
-impl OpenFeed {
-    fn new(feeds: &IntGauge) -> Self {
-        feeds.inc();
-        Self(feeds.clone())
+impl Open {
+    fn new(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
     }
 }
 
-impl Drop for OpenFeed {
+impl Drop for Open {
     fn drop(&mut self) {
         self.0.dec();
     }
--- a/crates/dillmill-agent/src/metrics.rs
+++ b/crates/dillmill-agent/src/metrics.rs
@@ -32,6 +32,8 @@
     pub slots_in_use: IntGauge,
     /// Requests waiting.
     pub queued: IntGauge,
+    /// Requests of callers and siblings that are not answered yet, wherever they run.
+    pub open_requests: IntGauge,
     /// Open long feeds.
     pub feeds: IntGauge,
     /// Claim records held.
@@ -59,6 +61,7 @@
             retries: m.counter("dillmill_retries", "Retries after a failed try")?,
             slots_in_use: m.gauge("dillmill_slots_in_use", "Slots in use")?,
             queued: m.gauge("dillmill_queued", "Requests waiting")?,
+            open_requests: m.gauge("dillmill_open_requests", "Requests not answered yet")?,
             feeds: m.gauge("dillmill_feeds", "Open long feeds")?,
             claims: m.gauge("dillmill_claims", "Claim records held")?,
         })
