--- a/crates/dillmill-agent/src/agent.rs
+++ b/crates/dillmill-agent/src/agent.rs
@@ -7,9 +7,10 @@
 use dillmill_core::claims::RingMember;
 use dillmill_core::{EventKind, FlowId, MemberStatus, Role, ServiceName};
 use dillmill_node::{
-    Inlets, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, View, Views, config::AgentConfig,
+    Inlets, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, SettingsSource, View, Views,
+    config::AgentConfig,
 };
-use dillmill_platform::RingStore;
+use dillmill_store::RingStore;
 use dillmill_settings::{CompiledTree, Service, Tls};
 use error_stack::Report;
 
@@ -58,7 +59,7 @@
     ) -> Result<Self, Report<NodeError>> {
         let service_name = agent.service.clone();
         let role = Role::Agent(service_name.clone());
-        let node = Node::spawn(config, NodeSpec { role, status: MemberStatus::Leaving }).await?;
+        let node = Node::spawn(config, NodeSpec { role, status: MemberStatus::Leaving, settings: SettingsSource::Tree }).await?;
         let metrics = AgentMetrics::new(&node.handle.metrics)?;
         let socket =
             UdpSocket::bind(config.data).await.map_err(NodeError::io("bind data", config.data))?;
@@ -96,7 +97,7 @@
             out,
         };
         compio::runtime::spawn(data.run()).detach();
-        let rings = RingStore::new(node.platform.clone(), &service_name);
+        let rings = RingStore::new(node.store.clone(), &service_name);
         let (told, refusing) = start_tasks(&cx, &rings, &endpoint);
         let follower = Follower {
             cx: cx.clone(),
@@ -172,7 +173,12 @@
     let (questions_tx, questions) = flume::unbounded();
     let (loads_tx, loads) = flume::unbounded();
     let (handed_tx, handed) = flume::unbounded();
-    cx.node.set_inlets(Inlets { questions: questions_tx, loads: loads_tx, handed: handed_tx });
+    cx.node.set_inlets(Inlets {
+        questions: questions_tx,
+        loads: loads_tx,
+        handed: handed_tx,
+        ..Inlets::closed()
+    });
     cx.desk.take_loads(loads);
     compio::runtime::spawn(claiming::answer_all(cx.clone(), questions)).detach();
     compio::runtime::spawn(hand_over::serve_all(cx.clone(), handed)).detach();
--- a/crates/dillmill-agent/src/desk.rs
+++ b/crates/dillmill-agent/src/desk.rs
@@ -328,6 +328,7 @@
             slots: if self.closed { Slots(0) } else { self.scheduler.slots() },
             in_use: count(self.scheduler.in_use()),
             queued: count(self.scheduler.queued()),
+            flows: 0,
         }
     }
 
--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -4,7 +4,7 @@
 
 use dillmill_core::claims::Ring;
 use dillmill_core::{EventKind, MemberStatus, ProcessId, Timestamp};
-use dillmill_platform::RingStore;
+use dillmill_store::RingStore;
 use dillmill_wire::{Ask, KeptAnswer};
 use futures_util::future::join_all;
 
--- a/crates/dillmill-balancer/src/balancer.rs
+++ b/crates/dillmill-balancer/src/balancer.rs
@@ -9,7 +9,9 @@
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
 use dillmill_core::{EventKind, MemberStatus, Role, ServiceName, ServiceNumber};
-use dillmill_node::{Metrics, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, View};
+use dillmill_node::{
+    Metrics, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, SettingsSource, View,
+};
 use dillmill_wire::Frame;
 use error_stack::Report;
 use prometheus::IntCounter;
@@ -83,7 +85,11 @@
     ///
     /// Fails when an address can't be bound.
     pub async fn spawn(config: &ProcessConfig) -> Result<Self, Report<NodeError>> {
-        let spec = NodeSpec { role: Role::Balancer, status: MemberStatus::Serving };
+        let spec = NodeSpec {
+            role: Role::Balancer,
+            status: MemberStatus::Serving,
+            settings: SettingsSource::Tree,
+        };
         let node = Node::spawn(config, spec).await?;
         let metrics = BalancerMetrics::new(&node.handle.metrics)?;
         let data =
--- /dev/null
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -0,0 +1,124 @@
+//! The agents of packet flows that a process knows, ready for look-ups by packet.
+
+use std::net::SocketAddrV4;
+
+use crate::{FlowTuple, Member, MemberStatus, ProcessId, Role, ServiceTag, ZoneName};
+
+/// Agents that remember the owner of a flow besides the owner itself.
+///
+/// Two, so that the loss of one loses no answer; each copy costs 25 bytes a new flow.
+pub const DIRECTORY_COPIES: usize = 2;
+
+/// An agent that is not known to be down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentEntry {
+    /// This run of the agent.
+    pub process: ProcessId,
+    /// Where packets reach it.
+    pub data: SocketAddrV4,
+    /// Where messages reach it.
+    pub control: SocketAddrV4,
+    /// Its service.
+    pub service: ServiceTag,
+    /// Whether it is in the data centre of the process that holds the table.
+    pub near: bool,
+    /// Its standing.
+    pub status: MemberStatus,
+    /// Slots of its target.
+    pub slots: u16,
+}
+
+/// All agents that are not known to be down.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AgentTable {
+    agents: Vec<AgentEntry>,
+}
+
+impl AgentTable {
+    /// Creates the table of a process in data centre `zone`.
+    #[must_use]
+    pub fn new<'a>(members: impl IntoIterator<Item = &'a Member>, zone: &ZoneName) -> Self {
+        let agents = members
+            .into_iter()
+            .filter(|m| m.status != MemberStatus::Down)
+            .filter_map(|m| match &m.role {
+                Role::Agent(service) => Some(AgentEntry {
+                    process: m.process,
+                    data: m.data,
+                    control: m.control,
+                    service: service.into(),
+                    near: m.zone == *zone,
+                    status: m.status,
+                    slots: m.weight.0,
+                }),
+                Role::Balancer => None,
+            })
+            .collect();
+        Self { agents }
+    }
+
+    /// Returns all agents.
+    pub fn iter(&self) -> impl Iterator<Item = &AgentEntry> {
+        self.agents.iter()
+    }
+
+    /// Returns the agent of this process number.
+    #[must_use]
+    pub fn get(&self, process: ProcessId) -> Option<&AgentEntry> {
+        self.agents.iter().find(|a| a.process == process)
+    }
+
+    /// Returns the agents of `service` that take new flows.
+    pub fn serving(&self, service: ServiceTag) -> impl Iterator<Item = &AgentEntry> {
+        self.agents.iter().filter(move |a| {
+            a.service == service && a.status == MemberStatus::Serving
+        })
+    }
+
+    /// Returns the agents that remember the owner of `flow`: of all services, so that a route that
+    /// moves to another service changes nothing.
+    #[must_use]
+    pub fn directory(&self, flow: &FlowTuple) -> Vec<&AgentEntry> {
+        let mut best: Vec<(u64, &AgentEntry)> = Vec::with_capacity(DIRECTORY_COPIES + 1);
+        for agent in self.agents.iter().filter(|a| a.status < MemberStatus::Suspect) {
+            // By address: the same agent after a restart.
+            let score = flow.score(address_seed(agent.control));
+            let at = best.partition_point(|(other, _)| *other > score);
+            best.insert(at, (score, agent));
+            best.truncate(DIRECTORY_COPIES);
+        }
+        best.into_iter().map(|(_, agent)| agent).collect()
+    }
+
+    /// Returns the agents to ask for the owner of `flow`, in order: first those that remember it,
+    /// then each agent of `services`, whose target may hold it.
+    ///
+    /// Agents that are suspect are left out: a packet sent there would end the search.
+    #[must_use]
+    pub fn search_order(&self, flow: &FlowTuple, services: &[ServiceTag]) -> Vec<&AgentEntry> {
+        let mut order = self.directory(flow);
+        let known: Vec<ProcessId> = order.iter().map(|a| a.process).collect();
+        let mut rest: Vec<(u64, &AgentEntry)> = self
+            .agents
+            .iter()
+            .filter(|a| a.status < MemberStatus::Suspect)
+            .filter(|a| services.contains(&a.service) && !known.contains(&a.process))
+            .map(|a| (flow.score(address_seed(a.control)), a))
+            .collect();
+        rest.sort_by(|(a, _), (b, _)| b.cmp(a));
+        order.extend(rest.into_iter().map(|(_, agent)| agent));
+        order
+    }
+
+    /// Returns whether an agent of `services` is suspect, so that a search may have missed it.
+    #[must_use]
+    pub fn any_suspect(&self, services: &[ServiceTag]) -> bool {
+        self.agents
+            .iter()
+            .any(|a| a.status == MemberStatus::Suspect && services.contains(&a.service))
+    }
+}
+
+fn address_seed(addr: SocketAddrV4) -> u64 {
+    (u64::from(u32::from(*addr.ip())) << 16) | u64::from(addr.port())
+}
--- /dev/null
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -0,0 +1,130 @@
+//! Which agent a balancer gives a new flow to.
+//!
+//! Agents report their load to the balancers that send them new flows, so each new flow that has
+//! brought no report for a while tells that an agent does not answer: sooner than any probe, and at
+//! no cost of its own.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use crate::agent_table::{AgentEntry, AgentTable};
+use crate::placement::LoadReport;
+use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
+
+/// An agent that has not answered for this long gets no new flows while others do: a report is due
+/// within [`REPORT_EVERY`] and a round trip, and a caller sends its first copy after 200 ms.
+const ANSWER_LIMIT: Duration = Duration::from_millis(180);
+/// Time between two reports of an agent to one balancer.
+pub const REPORT_EVERY: Duration = Duration::from_millis(50);
+/// Time between two questions to an agent that does not answer.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Load in use that a flow is sent to another data centre to avoid, in thousandths of the slots:
+/// one and a half of five slots. Bytes between data centres cost, a wait costs more.
+const FAR_PENALTY: u32 = 350;
+/// Load of an open flow that is at rest, in thousandths of a slot: one request of some 50 ms a
+/// second.
+const RESTING_FLOW: u32 = 50;
+
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    report: LoadReport,
+    /// New flows since the report.
+    sent: u32,
+    /// When the first flow or question without an answer was sent.
+    unanswered: Option<Timestamp>,
+    asked: Timestamp,
+    control: SocketAddrV4,
+}
+
+/// What a balancer knows of the load of agents.
+#[derive(Debug, Default)]
+pub struct FlowPlacement {
+    loads: HashMap<ProcessId, Load>,
+}
+
+impl FlowPlacement {
+    /// Takes in a report.
+    pub fn report(&mut self, report: LoadReport) {
+        if let Some(load) = self.loads.get_mut(&report.process) {
+            load.report = report;
+            load.sent = 0;
+            load.unanswered = None;
+        }
+    }
+
+    /// Takes in a new table of agents.
+    pub fn retain(&mut self, agents: &AgentTable) {
+        self.loads.retain(|process, _| agents.get(*process).is_some());
+        for agent in agents.iter() {
+            self.loads.entry(agent.process).or_insert_with(|| Load {
+                report: LoadReport::idle(agent.process, agent.slots),
+                sent: 0,
+                unanswered: None,
+                asked: Timestamp::default(),
+                control: agent.control,
+            });
+        }
+    }
+
+    /// Returns whether an agent has left new flows or questions without an answer.
+    #[must_use]
+    pub fn silent(&self, process: ProcessId, now: Timestamp) -> bool {
+        self.loads
+            .get(&process)
+            .and_then(|load| load.unanswered)
+            .is_some_and(|since| now.since(since) >= ANSWER_LIMIT)
+    }
+
+    /// Returns whether any agent answers, as far as is known.
+    #[must_use]
+    pub fn reaches_any(&self, now: Timestamp) -> bool {
+        self.loads.keys().any(|process| !self.silent(*process, now))
+    }
+
+    /// Returns the control addresses of silent agents that are due to be asked.
+    pub fn to_ask(&mut self, now: Timestamp) -> Vec<SocketAddrV4> {
+        let mut due = Vec::new();
+        for load in self.loads.values_mut() {
+            let silent = load.unanswered.is_some_and(|since| now.since(since) >= ANSWER_LIMIT);
+            if silent && now.since(load.asked) >= ASK_EVERY {
+                load.asked = now;
+                due.push(load.control);
+            }
+        }
+        due
+    }
+
+    /// Chooses the agent for a new flow of `service`, other than `not`.
+    pub fn place<'a>(
+        &mut self,
+        flow: &FlowTuple,
+        service: ServiceTag,
+        agents: &'a AgentTable,
+        not: Option<ProcessId>,
+        now: Timestamp,
+    ) -> Option<&'a AgentEntry> {
+        let cost = |a: &&AgentEntry| {
+            (self.silent(a.process, now), self.cost(a), flow.score(a.process.0))
+        };
+        let open = || agents.serving(service).filter(|a| a.slots > 0);
+        let best = open()
+            .filter(|a| Some(a.process) != not)
+            .min_by_key(cost)
+            .or_else(|| open().min_by_key(cost))?;
+        if let Some(load) = self.loads.get_mut(&best.process) {
+            load.sent += 1;
+            load.unanswered.get_or_insert(now);
+        }
+        Some(best)
+    }
+
+    fn cost(&self, agent: &AgentEntry) -> u32 {
+        let far = if agent.near { 0 } else { FAR_PENALTY };
+        let Some(load) = self.loads.get(&agent.process) else { return far };
+        let report = load.report;
+        let slots = u32::from(report.slots.0.max(1));
+        let requests = u32::from(report.in_use) + u32::from(report.queued) + load.sent;
+        (requests * 1000 + report.flows * RESTING_FLOW) / slots + far
+    }
+}
--- /dev/null
+++ b/crates/dillmill-core/src/flow_tuple.rs
@@ -0,0 +1,69 @@
+//! What names a packet flow: the addresses and ports of its two ends.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Caller and route of a flow, as the caller wrote them into its packets.
+///
+/// Decisions only compare and hash it. It takes 12 bytes, as it stands in every table of flows.
+///
+/// ```
+/// use dillmill_core::FlowTuple;
+///
+/// let flow = FlowTuple::new("100.64.0.7:40001".parse()?, "198.18.0.1:443".parse()?);
+/// assert_eq!(flow.to_string(), "100.64.0.7:40001>198.18.0.1:443");
+/// assert_eq!(flow.route().port(), 443);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct FlowTuple {
+    caller_ip: u32,
+    route_ip: u32,
+    caller_port: u16,
+    route_port: u16,
+}
+
+impl FlowTuple {
+    /// Creates the tuple of a flow from `caller` to `route`.
+    #[must_use]
+    pub fn new(caller: SocketAddrV4, route: SocketAddrV4) -> Self {
+        Self {
+            caller_ip: u32::from(*caller.ip()),
+            route_ip: u32::from(*route.ip()),
+            caller_port: caller.port(),
+            route_port: route.port(),
+        }
+    }
+
+    /// Returns the caller's end.
+    #[must_use]
+    pub fn caller(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.caller_ip), self.caller_port)
+    }
+
+    /// Returns the route's end.
+    #[must_use]
+    pub fn route(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(self.route_ip), self.route_port)
+    }
+
+    /// Returns the rendezvous score of the flow at `seed`: the same in every process.
+    #[must_use]
+    pub fn score(&self, seed: u64) -> u64 {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&self.caller_ip.to_be_bytes());
+        bytes[4..8].copy_from_slice(&self.route_ip.to_be_bytes());
+        bytes[8..10].copy_from_slice(&self.caller_port.to_be_bytes());
+        bytes[10..].copy_from_slice(&self.route_port.to_be_bytes());
+        xxh3_64_with_seed(&bytes, seed)
+    }
+}
+
+impl fmt::Display for FlowTuple {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}>{}", self.caller(), self.route())
+    }
+}
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -6,6 +6,9 @@
 //! | Module | Decides |
 //! |---|---|
 //! | [`flow_id`] | which agent owns a QUIC connection id |
+//! | [`flow_placement`] | which agent a balancer gives a new packet flow to |
+//! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
+//! | [`agent_table`] | in which order agents are asked for the owner of a flow |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
 //! | [`scheduler`] | which request runs next on a target, and which is refused |
@@ -15,30 +18,52 @@
 //! | [`warm_up`] | how many slots a target that has just started gets |
 //! | [`watch_duty`] | which processes hold a watch at the platform |
 
+pub mod agent_table;
 pub mod claims;
+pub mod envelope;
 pub mod event;
+pub mod flow_directory;
+pub mod flow_gate;
 pub mod flow_id;
+pub mod flow_placement;
+pub mod flow_tuple;
+pub mod generations;
 pub mod home_table;
 pub mod interval;
 pub mod member;
 pub mod membership;
 pub mod names;
 pub mod numbers;
+pub mod owner_cache;
 pub mod placement;
 pub mod retry_budget;
+pub mod route_table;
 pub mod scheduler;
 pub mod secret;
+pub mod segment;
+pub mod service_tag;
+pub mod target_flows;
 pub mod timestamp;
 pub mod warm_up;
 pub mod watch_duty;
 
+pub use agent_table::{AgentEntry, AgentTable};
+pub use envelope::{Envelope, Errand};
 pub use event::{Event, EventKind, EventLog};
 pub use flow_id::{FlowId, FlowIdError, FlowKey, FlowKeys};
+pub use flow_directory::{FlowDirectory, FlowRecord};
+pub use flow_gate::FlowGate;
+pub use flow_placement::FlowPlacement;
+pub use flow_tuple::FlowTuple;
 pub use home_table::{Home, HomeTable};
 pub use interval::Interval;
 pub use member::{Member, MemberStatus, Role};
 pub use membership::Membership;
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
 pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
+pub use owner_cache::{Owner, OwnerCache};
+pub use route_table::{RouteEntry, RouteTable};
 pub use secret::Secret;
+pub use segment::{Segment, SegmentKind};
+pub use service_tag::ServiceTag;
 pub use timestamp::Timestamp;
--- a/crates/dillmill-core/src/member.rs
+++ b/crates/dillmill-core/src/member.rs
@@ -72,6 +72,8 @@
     pub version: u32,
     /// Standing.
     pub status: MemberStatus,
+    /// Whether the platform's store answers it, so that it can watch for others.
+    pub reaches_store: bool,
 }
 
 impl Member {
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -124,6 +124,16 @@
         self
     }
 
+    /// Adds control addresses through which this process joins.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddrV4>) {
+        for seed in seeds {
+            if seed != self.me.control && !self.seeds.contains(&seed) {
+                self.seeds.push(seed);
+            }
+        }
+        self.next_seed = Timestamp::default();
+    }
+
     /// Returns this process's own record.
     #[must_use]
     pub fn me(&self) -> &Member {
@@ -174,7 +184,7 @@
     /// Returns this process's digest.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        Digest { revision: self.revision, members: self.hash }
+        Digest { process: self.me.process, revision: self.revision, members: self.hash }
     }
 
     /// Returns the changes since the last call.
@@ -239,14 +249,25 @@
 
     /// A process found at the address of an earlier run of itself proves that the run has ended.
     fn retire_predecessors(&mut self, newcomer: &Member, now: Timestamp) {
+        let ended = |m: &Member| {
+            m.control == newcomer.control
+                && m.process != newcomer.process
+                && m.started < newcomer.started
+        };
+        self.retire(ended, now);
+    }
+
+    /// Whoever speaks from an address is the only one there, whatever the clocks of both say.
+    fn retire_others_at(&mut self, addr: SocketAddrV4, speaker: ProcessId, now: Timestamp) {
+        if self.entries.contains_key(&speaker) {
+            self.retire(|m| m.control == addr && m.process != speaker, now);
+        }
+    }
+
+    fn retire(&mut self, ended: impl Fn(&Member) -> bool, now: Timestamp) {
         let ended: Vec<Member> = self
             .others()
-            .filter(|m| {
-                m.control == newcomer.control
-                    && m.process != newcomer.process
-                    && m.started < newcomer.started
-                    && m.status != MemberStatus::Down
-            })
+            .filter(|m| m.status != MemberStatus::Down && ended(m))
             .cloned()
             .collect();
         for mut member in ended {
@@ -512,6 +533,7 @@
     }
 
     fn compare(&mut self, from: SocketAddrV4, digest: Digest, now: Timestamp) {
+        self.retire_others_at(from, digest.process, now);
         if digest.members != self.hash && now >= self.next_sync {
             self.next_sync = now + SYNC_INTERVAL;
             self.wants_sync = Some(from);
--- a/crates/dillmill-core/src/membership/probe.rs
+++ b/crates/dillmill-core/src/membership/probe.rs
@@ -4,11 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Member, MemberStatus, Revision};
+use crate::{Member, MemberStatus, ProcessId, Revision};
 
 /// What two processes compare.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
+    /// The sender: another process at the address of a member proves that the member has ended.
+    pub process: ProcessId,
     /// Settings revision in force.
     pub revision: Revision,
     /// Hash over all member records.
--- a/crates/dillmill-core/src/placement.rs
+++ b/crates/dillmill-core/src/placement.rs
@@ -42,6 +42,16 @@
     pub in_use: u16,
     /// Requests waiting.
     pub queued: u16,
+    /// Open flows.
+    pub flows: u32,
+}
+
+impl LoadReport {
+    /// Returns the report of an agent whose target has nothing to do.
+    #[must_use]
+    pub const fn idle(process: ProcessId, slots: u16) -> Self {
+        Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0 }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/dillmill-core/src/secret.rs
+++ b/crates/dillmill-core/src/secret.rs
@@ -23,6 +23,12 @@
     }
 }
 
+impl From<String> for Secret {
+    fn from(text: String) -> Self {
+        Self(text)
+    }
+}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("<secret>")
--- /dev/null
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -0,0 +1,179 @@
+//! The flows that one target holds, as its agent sees them pass.
+
+use std::time::Duration;
+
+use crate::generations::Generations;
+use crate::segment::{Segment, SegmentKind};
+use crate::{FlowTuple, Timestamp};
+
+/// Kept this long after the last packet: longer than any sensible idle time-out of a flow, and long
+/// enough for late packets of a closed one.
+const FLOW_LIFETIME: Duration = Duration::from_secs(20);
+/// Flows of one generation; a target takes 2,000 connections today.
+const CAPACITY: usize = 20_000;
+/// A caller's first acknowledgement lies this close to the number with which its target began.
+const FIRST_ACK_WINDOW: u32 = 1 << 16;
+/// A request that has waited longer is not counted as running: its caller has mostly given up.
+const REQUEST_LIMIT: Duration = Duration::from_secs(3);
+/// A flow that was just taken counts as a request for this long, until its first bytes come: about
+/// two round trips between data centres.
+const FIRST_REQUEST: Duration = Duration::from_millis(30);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The target has been handed the opening packet.
+    Opening,
+    /// The caller has acknowledged the target, or data has passed.
+    Open,
+    /// One end has finished or reset.
+    Closed,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TargetFlow {
+    stage: Stage,
+    target_seq: Option<u32>,
+    taken: Timestamp,
+    /// When the request that has had no answer yet began.
+    request: Option<Timestamp>,
+}
+
+/// Whether a packet of a caller belongs to the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fit {
+    /// The target holds the flow.
+    Ours,
+    /// The caller has acknowledged another target.
+    Other,
+    /// Nothing is known of the flow.
+    Unknown,
+}
+
+/// What follows from a packet of the target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FromTarget {
+    /// The flow is new, so that the directory must learn of it.
+    pub new: bool,
+    /// How long the request took whose answer begins.
+    pub answered: Option<Duration>,
+}
+
+/// The flows of one target.
+#[derive(Debug)]
+pub struct TargetFlows {
+    flows: Generations<FlowTuple, TargetFlow>,
+}
+
+impl Default for TargetFlows {
+    fn default() -> Self {
+        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY) }
+    }
+}
+
+impl TargetFlows {
+    /// Notes that the target is handed the opening packet of a flow.
+    pub fn opening(&mut self, flow: FlowTuple, copies: u32, now: Timestamp) {
+        if copies > 0 && self.flows.get_mut(&flow, now).is_some() {
+            return;
+        }
+        let opening =
+            TargetFlow { stage: Stage::Opening, target_seq: None, taken: now, request: None };
+        self.flows.insert(flow, opening, now);
+    }
+
+    /// Takes in a packet of the caller and says whether it belongs to the target.
+    pub fn from_caller(&mut self, seg: &Segment, now: Timestamp) -> Fit {
+        let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return Fit::Unknown };
+        if flow.stage == Stage::Opening {
+            let near = flow
+                .target_seq
+                .is_some_and(|seq| seg.ack.wrapping_sub(seq) <= FIRST_ACK_WINDOW);
+            if !near {
+                return Fit::Other;
+            }
+            flow.stage = Stage::Open;
+        }
+        match seg.kind {
+            SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
+            _ if seg.len > 0 && flow.request.is_none() => flow.request = Some(now),
+            _ => {}
+        }
+        Fit::Ours
+    }
+
+    /// Takes in a packet of the target.
+    pub fn from_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
+        let Some(flow) = self.flows.get_mut(&seg.flow, now) else {
+            if seg.kind == SegmentKind::Reset {
+                return FromTarget::default();
+            }
+            let accept = seg.kind == SegmentKind::Accept;
+            let learned = TargetFlow {
+                stage: if accept { Stage::Opening } else { Stage::Open },
+                target_seq: accept.then_some(seg.seq),
+                taken: now,
+                request: None,
+            };
+            self.flows.insert(seg.flow, learned, now);
+            return FromTarget { new: true, answered: None };
+        };
+        match seg.kind {
+            SegmentKind::Accept => {
+                let fresh = flow.target_seq != Some(seg.seq);
+                flow.target_seq = Some(seg.seq);
+                return FromTarget { new: fresh, answered: None };
+            }
+            SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
+            _ => {}
+        }
+        let request = if seg.len > 0 { flow.request.take() } else { None };
+        FromTarget { new: false, answered: request.map(|since| now.since(since)) }
+    }
+
+    /// Forgets a flow that the target does not hold; returns whether it was known.
+    pub fn forget(&mut self, flow: &FlowTuple) -> bool {
+        self.flows.remove(flow).is_some()
+    }
+
+    /// Forgets all flows: another run of the target has taken its place.
+    pub fn clear(&mut self) {
+        self.flows.clear();
+    }
+
+    /// Returns the open flows, with the number with which the target began.
+    pub fn open(&self) -> impl Iterator<Item = (FlowTuple, Option<u32>)> {
+        self.flows
+            .iter()
+            .filter(|(_, flow)| flow.stage == Stage::Open)
+            .map(|(tuple, flow)| (*tuple, flow.target_seq))
+    }
+
+    /// Returns the requests that have had no answer yet, flows that are about to bring one
+    /// included, and the open flows.
+    #[must_use]
+    pub fn load(&self, now: Timestamp) -> TargetLoad {
+        let mut load = TargetLoad::default();
+        for (_, flow) in self.flows.iter() {
+            let expected = now.since(flow.taken) < FIRST_REQUEST;
+            let running = flow.request.is_some_and(|since| now.since(since) < REQUEST_LIMIT);
+            match flow.stage {
+                Stage::Opening => load.requests += u32::from(expected),
+                Stage::Open => {
+                    load.flows += 1;
+                    load.requests += u32::from(running || expected);
+                }
+                Stage::Closed => {}
+            }
+        }
+        load
+    }
+}
+
+/// What a target has to do.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests without an answer.
+    pub requests: u32,
+    /// Open flows.
+    pub flows: u32,
+}
--- a/crates/dillmill-core/tests/membership_views.rs
+++ b/crates/dillmill-core/tests/membership_views.rs
@@ -27,6 +27,7 @@
         started: Timestamp::from_millis(u64::from(n)),
         weight: Weight(100),
         version: 1,
+        reaches_store: true,
         status: MemberStatus::Serving,
     }
 }
--- a/crates/dillmill-core/tests/request_placement.rs
+++ b/crates/dillmill-core/tests/request_placement.rs
@@ -10,7 +10,7 @@
 const NOW: Timestamp = Timestamp::from_millis(1000);
 
 fn report(n: u64, slots: u16, in_use: u16, queued: u16) -> LoadReport {
-    LoadReport { process: ProcessId(n), slots: Slots(slots), in_use, queued }
+    LoadReport { process: ProcessId(n), slots: Slots(slots), in_use, queued, flows: 0 }
 }
 
 fn siblings(reports: &[LoadReport]) -> Siblings {
--- /dev/null
+++ b/crates/dillmill-flow/src/agent.rs
@@ -0,0 +1,88 @@
+//! The agent's process.
+
+use std::time::Duration;
+
+use dillmill_core::{EventKind, MemberStatus, Role};
+use dillmill_node::{Inlets, Node, NodeError, NodeSpec, SettingsSource};
+use dillmill_platform::ProcessSettings;
+use error_stack::Report;
+
+use crate::agent_task::{AgentTask, StopRequest};
+use crate::config::process_config;
+use crate::flow_metrics::AgentCounters;
+use crate::route_watch::RouteWatch;
+use crate::session::Session;
+use crate::{endpoints, sockets};
+
+/// Part of the time for a stop that is left for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_secs(3);
+
+/// A running agent of packet flows.
+#[derive(Debug)]
+pub struct FlowAgent {
+    /// Its control task.
+    pub node: Node,
+    stop: flume::Sender<StopRequest>,
+    stop_limit: Duration,
+}
+
+impl FlowAgent {
+    /// Binds the agent's addresses and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound, or the settings name no target.
+    pub async fn spawn(
+        settings: &ProcessSettings,
+        metrics_port: Option<u16>,
+    ) -> Result<Self, Report<NodeError>> {
+        let missing = |what: &'static str| {
+            NodeError::new("start agent", &settings.vm, format!("the settings name no {what}"))
+        };
+        let service = settings.service.clone().ok_or_else(|| missing("service"))?;
+        let target = settings.target.ok_or_else(|| missing("target"))?;
+        let from_target = settings.from_target.ok_or_else(|| missing("address for its packets"))?;
+        let config = process_config(settings, metrics_port);
+        let spec = NodeSpec {
+            role: Role::Agent(service.clone()),
+            status: MemberStatus::Leaving,
+            settings: SettingsSource::Routes,
+        };
+        let node = Node::spawn(&config, spec).await?;
+        let counters = AgentCounters::new(&node.handle.metrics)?;
+        let packets = sockets::bind("bind packets", settings.packets).await?;
+        let outbound = sockets::bind("bind packets of the target", from_target).await?;
+        let calls = endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats))
+            .await?;
+        let (loads_tx, _) = flume::bounded(1);
+        let (flows_tx, flows) = flume::unbounded();
+        node.handle.set_inlets(Inlets { loads: loads_tx, flows: flows_tx, ..Inlets::closed() });
+        let (stop, stops) = flume::unbounded();
+        let task = AgentTask::new(
+            node.handle.clone(),
+            packets,
+            outbound,
+            target,
+            service,
+            settings,
+            counters,
+        );
+        compio::runtime::spawn(task.run(calls, flows, stops)).detach();
+        Session::spawn(&node, config.control, settings.shortest_lease);
+        RouteWatch::spawn(&node, config.watchers);
+        Ok(Self { node, stop, stop_limit: settings.stop_limit })
+    }
+
+    /// Stops as planned: takes no new flow, lets requests finish, then ends.
+    pub async fn stop(self) {
+        let handle = &self.node.handle;
+        handle.journal.record(EventKind::Process, "agent stops", "asked to");
+        let (done, finished) = flume::bounded(1);
+        let limit = self.stop_limit.saturating_sub(STOP_MARGIN);
+        let _ = self.stop.send(StopRequest { done });
+        let in_time = compio::time::timeout(limit, finished.recv_async()).await.is_ok();
+        let cause = if in_time { "no more requests" } else { "limit reached" };
+        handle.journal.record(EventKind::Process, "agent stopped", cause);
+        handle.stopped().await;
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -0,0 +1,455 @@
+//! Takes packets for a target and from it, and carries out what the gate decides.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compio::net::UdpSocket;
+use dillmill_core::flow_gate::{Known, TargetStanding, Verdict};
+use dillmill_core::flow_placement::REPORT_EVERY;
+use dillmill_core::placement::LoadReport;
+use dillmill_core::{
+    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, Role, RouteTable, Segment,
+    SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
+};
+use dillmill_node::{NodeHandle, View, Views};
+use dillmill_platform::endpoint::Accepted;
+use dillmill_platform::packet::{self, Sender};
+use dillmill_platform::{EndpointCall, Heartbeat, ProcessSettings, TargetCall, TargetState};
+use dillmill_wire::{FlowMessage, Message, open_envelope, seal_envelope};
+use futures_util::stream::{self, StreamExt};
+
+use crate::decision_log::DecisionLog;
+use crate::flow_metrics::AgentCounters;
+use crate::registrations::Registrations;
+use crate::sockets::{self, datagrams, ticks};
+
+/// A balancer that has sent no new flow for this long gets no more reports.
+const REPORT_WHILE: Duration = Duration::from_secs(2);
+/// Reports without a new flow since the last one come this much further apart.
+const REPORT_IDLE: Duration = Duration::from_millis(200);
+/// A stop waits at least this long, so that all balancers have heard of it.
+const STOP_MIN: Duration = Duration::from_millis(300);
+
+/// Asks the task to take no new flow, and to say when no request is left.
+#[derive(Debug)]
+pub struct StopRequest {
+    /// Told when the last request has its answer.
+    pub done: flume::Sender<()>,
+}
+
+enum Event {
+    FromNetwork(Vec<u8>),
+    FromTarget(Vec<u8>),
+    Flow(SocketAddrV4, FlowMessage),
+    Call(EndpointCall),
+    Stop(StopRequest),
+    Tick,
+}
+
+/// A run of the target.
+#[derive(Debug)]
+struct TargetRun {
+    id: String,
+    last_number: u64,
+}
+
+/// A balancer that sends new flows here.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    last_flow: Timestamp,
+    last_report: Timestamp,
+    reported: LoadReport,
+    due: bool,
+}
+
+/// Owns both sockets of an agent and the gate before its target.
+pub struct AgentTask {
+    handle: NodeHandle,
+    views: Views,
+    packets: UdpSocket,
+    outbound: UdpSocket,
+    target: SocketAddrV4,
+    zone: ZoneName,
+    caller_port: u16,
+    counters: AgentCounters,
+    log: DecisionLog,
+    gate: FlowGate,
+    service: ServiceName,
+    agents: AgentTable,
+    routes: Arc<RouteTable>,
+    registrations: Registrations,
+    origins: HashMap<SocketAddrV4, Origin>,
+    run: Option<TargetRun>,
+    stopping: Option<(StopRequest, Timestamp)>,
+}
+
+impl AgentTask {
+    /// Creates the task of an agent.
+    #[must_use]
+    pub fn new(
+        handle: NodeHandle,
+        packets: UdpSocket,
+        outbound: UdpSocket,
+        target: SocketAddrV4,
+        service: ServiceName,
+        settings: &ProcessSettings,
+        counters: AgentCounters,
+    ) -> Self {
+        let now = handle.clock.now();
+        let tag = ServiceTag::from(&service);
+        Self {
+            gate: FlowGate::new(handle.process, settings.packets, tag, now),
+            log: DecisionLog::new(handle.journal.clone(), now),
+            views: handle.views(),
+            handle,
+            packets,
+            outbound,
+            target,
+            zone: settings.zone.clone(),
+            caller_port: settings.packets.port(),
+            counters,
+            service,
+            agents: AgentTable::default(),
+            routes: Arc::default(),
+            registrations: Registrations::default(),
+            origins: HashMap::new(),
+            run: None,
+            stopping: None,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(
+        mut self,
+        calls: flume::Receiver<EndpointCall>,
+        flows: flume::Receiver<(SocketAddrV4, FlowMessage)>,
+        stops: flume::Receiver<StopRequest>,
+    ) {
+        let mut events = stream::select_all([
+            datagrams(self.packets.clone()).map(Event::FromNetwork).boxed_local(),
+            datagrams(self.outbound.clone()).map(Event::FromTarget).boxed_local(),
+            flows.into_stream().map(|(from, m)| Event::Flow(from, m)).boxed_local(),
+            calls.into_stream().map(Event::Call).boxed_local(),
+            stops.into_stream().map(Event::Stop).boxed_local(),
+            ticks(REPORT_EVERY).map(|()| Event::Tick).boxed_local(),
+        ]);
+        while let Some(event) = events.next().await {
+            let now = self.handle.clock.now();
+            if let Some(view) = self.views.newer() {
+                self.take_view(&view);
+            }
+            match event {
+                Event::FromNetwork(buf) => self.from_network(buf, now).await,
+                Event::FromTarget(buf) => self.from_target(buf, now).await,
+                Event::Flow(from, message) => self.message(from, message, now),
+                Event::Call(call) => self.call(call),
+                Event::Stop(request) => self.stop(request, now),
+                Event::Tick => self.tick(now),
+            }
+        }
+    }
+
+    fn take_view(&mut self, view: &View) {
+        let agents = AgentTable::new(view.members.iter(), &self.zone);
+        if agents != self.agents {
+            self.registrations.moved(self.gate.records(), &self.agents, &agents);
+            self.agents = agents;
+        }
+        if let Some(routes) = &view.routes
+            && routes.revision() > self.routes.revision
+        {
+            self.routes = Arc::new(routes.table().after(&self.routes));
+        }
+    }
+
+    async fn from_network(&mut self, buf: Vec<u8>, now: Timestamp) {
+        let Ok((envelope, packet)) = open_envelope(&buf) else {
+            return self.counters.dropped.inc();
+        };
+        let Ok(seg) = packet::decode(packet, Sender::Caller) else {
+            return self.counters.dropped.inc();
+        };
+        if matches!(envelope.errand, Errand::Place { .. }) {
+            self.note_origin(envelope.origin, now);
+        }
+        let known = Known { agents: &self.agents, routes: &self.routes };
+        let verdict = self.gate.arrived(&seg, &envelope, known, now);
+        self.carry_out(verdict, &seg, envelope.origin, packet.to_vec(), now).await;
+    }
+
+    async fn from_target(&mut self, buf: Vec<u8>, now: Timestamp) {
+        let returned = packet::decode(&buf, Sender::Caller).ok().filter(|seg| seg.returned);
+        if let Some(seg) = returned {
+            self.counters.returned.inc();
+            let known = Known { agents: &self.agents, routes: &self.routes };
+            let (verdict, origin) = self.gate.returned(&seg, known, now);
+            return self.carry_out(verdict, &seg, origin, buf, now).await;
+        }
+        let Ok(seg) = packet::decode(&buf, Sender::Target) else {
+            return self.counters.dropped.inc();
+        };
+        let noted = self.gate.from_target(&seg, now);
+        if let Some(record) = noted.record {
+            self.registrations.push(record);
+        }
+        if let Some(wait) = noted.answered {
+            self.counters.answer_seconds.observe(wait.as_secs_f64());
+        }
+        self.counters.answered.inc();
+        self.send_to_caller(&seg.flow, buf).await;
+    }
+
+    async fn carry_out(
+        &mut self,
+        verdict: Verdict,
+        seg: &Segment,
+        origin: SocketAddrV4,
+        mut packet: Vec<u8>,
+        now: Timestamp,
+    ) {
+        match verdict {
+            Verdict::Deliver { mark, tell } => {
+                packet::set_mark(&mut packet, mark);
+                self.counters.delivered.inc();
+                self.log_delivery(seg, mark, now);
+                if !sockets::send(&self.outbound, packet, self.target).await {
+                    self.counters.dropped.inc();
+                }
+                if tell {
+                    let (owner, data) = (self.handle.process, self.gate.data());
+                    let message = FlowMessage::Owner { flow: seg.flow, owner, data };
+                    self.handle.send(origin, Message::Flow(message));
+                }
+            }
+            Verdict::Pass { to, envelope, reason } => {
+                if matches!(envelope.errand, Errand::Place { .. }) {
+                    self.counters.passed_on.inc();
+                } else {
+                    self.counters.searched.inc();
+                }
+                self.log.flow(now, &seg.flow, format_args!("passed to {to}"), || {
+                    format!("{reason:?}, {:?}", envelope.errand)
+                });
+                self.pass(&envelope, packet, to).await;
+            }
+            Verdict::Missing { origin } => {
+                // Only a caller that waits for something needs to know.
+                if seg.kind == SegmentKind::Data && seg.len > 0 {
+                    let message =
+                        FlowMessage::Missing { flow: seg.flow, caller_expects: seg.ack };
+                    self.handle.send(origin, Message::Flow(message));
+                }
+                self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
+            }
+            Verdict::Refuse(reason) => {
+                self.counters.refused.inc();
+                self.log.flow(now, &seg.flow, "refused", || {
+                    format!("{reason:?}, target {:?}", self.gate.standing())
+                });
+                self.send_to_caller(&seg.flow, packet::reset(&seg.flow, 0).to_vec()).await;
+            }
+            Verdict::Drop => self.counters.dropped.inc(),
+        }
+    }
+
+    fn log_delivery(&mut self, seg: &Segment, mark: u32, now: Timestamp) {
+        if mark == 0 {
+            return;
+        }
+        let decided = match seg.kind {
+            SegmentKind::Open { .. } => "given to the target",
+            _ => "tried at the target",
+        };
+        let load = self.gate.load(now);
+        let slots = self.gate.slots();
+        self.log.flow(now, &seg.flow, decided, || {
+            format!("{} requests in {slots} slots, {} flows", load.requests, load.flows)
+        });
+    }
+
+    async fn pass(&self, envelope: &Envelope, mut packet: Vec<u8>, to: SocketAddrV4) {
+        packet::set_mark(&mut packet, 0);
+        let mut buf = Vec::with_capacity(packet.len() + 64);
+        seal_envelope(envelope, &packet, &mut buf);
+        if !sockets::send(&self.packets, buf, to).await {
+            self.counters.dropped.inc();
+        }
+    }
+
+    async fn send_to_caller(&self, flow: &FlowTuple, packet: Vec<u8>) {
+        let to = SocketAddrV4::new(*flow.caller().ip(), self.caller_port);
+        if !sockets::send(&self.packets, packet, to).await {
+            self.counters.dropped.inc();
+        }
+    }
+
+    fn message(&mut self, from: SocketAddrV4, message: FlowMessage, now: Timestamp) {
+        match message {
+            FlowMessage::Records(records) => {
+                for record in records {
+                    self.gate.register(record, now);
+                }
+            }
+            FlowMessage::AskLoad => {
+                self.handle.send(from, Message::Load(self.report(now)));
+            }
+            FlowMessage::Owner { .. } | FlowMessage::Missing { .. } => {}
+        }
+    }
+
+    fn report(&self, now: Timestamp) -> LoadReport {
+        let load = self.gate.load(now);
+        let slots = if self.gate.takes_new() { self.gate.slots() } else { 0 };
+        let in_use = load.requests.min(u32::from(self.gate.slots()));
+        let count = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
+        LoadReport {
+            process: self.handle.process,
+            slots: Slots(slots),
+            in_use: count(in_use),
+            queued: count(load.requests - in_use),
+            flows: load.flows,
+        }
+    }
+
+    fn note_origin(&mut self, balancer: SocketAddrV4, now: Timestamp) {
+        let idle = LoadReport::idle(self.handle.process, 0);
+        let origin = self.origins.entry(balancer).or_insert(Origin {
+            last_flow: now,
+            last_report: Timestamp::default(),
+            reported: idle,
+            due: true,
+        });
+        origin.last_flow = now;
+        origin.due = true;
+        if now.since(origin.last_report) >= REPORT_EVERY {
+            self.report_to(balancer, now);
+        }
+    }
+
+    fn report_to(&mut self, balancer: SocketAddrV4, now: Timestamp) {
+        let report = self.report(now);
+        if let Some(origin) = self.origins.get_mut(&balancer) {
+            origin.last_report = now;
+            origin.reported = report;
+            origin.due = false;
+        }
+        self.handle.send(balancer, Message::Load(report));
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        self.registrations.flush(&self.agents, &self.handle);
+        let report = self.report(now);
+        self.counters.requests.set(i64::from(report.in_use) + i64::from(report.queued));
+        self.handle.metrics.flows.set(i64::from(report.flows));
+        self.origins.retain(|_, origin| now.since(origin.last_flow) < REPORT_WHILE);
+        let due: Vec<SocketAddrV4> = self
+            .origins
+            .iter()
+            .filter(|(_, o)| {
+                let age = now.since(o.last_report);
+                o.due || (o.reported != report && age >= REPORT_IDLE)
+            })
+            .map(|(balancer, _)| *balancer)
+            .collect();
+        for balancer in due {
+            self.report_to(balancer, now);
+        }
+        self.finish_stop(now);
+    }
+
+    fn stop(&mut self, request: StopRequest, now: Timestamp) {
+        self.gate.stop();
+        self.handle.leave();
+        self.stopping = Some((request, now));
+    }
+
+    fn finish_stop(&mut self, now: Timestamp) {
+        let Some((request, since)) = &self.stopping else { return };
+        let heard = now.since(*since) >= STOP_MIN || self.gate.standing() == TargetStanding::Gone;
+        if heard && self.gate.load(now).requests == 0 {
+            let _ = request.done.send(());
+            self.stopping = None;
+        }
+    }
+
+    fn call(&mut self, call: EndpointCall) {
+        match call {
+            EndpointCall::Ready(tx) => {
+                let ready = self.gate.takes_new() && !self.routes.is_empty();
+                let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
+            }
+            EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
+                self.heartbeat(id, &heartbeat);
+                let _ = tx.send(Accepted::Yes);
+            }
+            EndpointCall::Target(TargetCall::Leave { id }, tx) => {
+                if self.run.as_ref().is_none_or(|run| run.id == id) {
+                    self.set_standing(TargetStanding::Gone, self.gate.slots(), &id, "its own word");
+                }
+                let _ = tx.send(Accepted::Yes);
+            }
+            EndpointCall::Malformed { what } => {
+                self.handle.journal.record(EventKind::Member, "heartbeat refused", what);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, id: String, heartbeat: &Heartbeat) {
+        let known = self.run.as_ref().is_some_and(|run| run.id == id);
+        let late = self.run.as_ref().is_some_and(|run| run.id == id && heartbeat.number <= run.last_number);
+        if late {
+            return;
+        }
+        if !known {
+            self.new_run(&id, heartbeat);
+        }
+        self.run = Some(TargetRun { id: id.clone(), last_number: heartbeat.number });
+        let standing = match heartbeat.state {
+            TargetState::Ready => TargetStanding::Ready,
+            TargetState::Draining => TargetStanding::Leaving,
+        };
+        let cause = format!("heartbeat {}", heartbeat.number);
+        self.set_standing(standing, heartbeat.slots, &id, &cause);
+    }
+
+    /// Takes in the first heartbeat of a run of the target.
+    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) {
+        let first = self.run.is_none();
+        // A target whose first heartbeat came here has started after this agent did.
+        if !first || heartbeat.number <= 1 {
+            self.gate.new_target(ServiceTag::from(&heartbeat.service));
+        }
+        if heartbeat.service != self.service {
+            let what = format!("service {} -> {}", self.service, heartbeat.service);
+            self.handle.journal.record(EventKind::Member, what, format!("heartbeat of {id}"));
+            self.service = heartbeat.service.clone();
+            self.gate.new_target(ServiceTag::from(&self.service));
+            let service = self.service.clone();
+            self.handle.update_me(move |me| me.role = Role::Agent(service));
+        }
+        let what = format!("target {id} of {}", heartbeat.service);
+        let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
+        self.handle.journal.record(EventKind::Member, what, cause);
+    }
+
+    fn set_standing(&mut self, standing: TargetStanding, slots: u16, id: &str, cause: &str) {
+        let before = self.gate.standing();
+        let slots_before = self.gate.slots();
+        self.gate.set_standing(standing, slots);
+        if slots != slots_before {
+            self.handle.update_me(move |me| me.weight = Weight(slots));
+        }
+        if before == standing {
+            return;
+        }
+        let what = format!("target {id} {before:?} -> {standing:?}");
+        self.handle.journal.record(EventKind::Member, what, cause.to_owned());
+        match standing {
+            TargetStanding::Ready if self.stopping.is_none() => self.handle.serve(),
+            TargetStanding::Leaving | TargetStanding::Gone => self.handle.leave(),
+            TargetStanding::Ready | TargetStanding::Unknown => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -0,0 +1,116 @@
+//! The balancer's process.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dillmill_core::{EventKind, MemberStatus, Role};
+use dillmill_node::{Inlets, Node, NodeError, NodeSpec, SettingsSource};
+use dillmill_platform::endpoint::Accepted;
+use dillmill_platform::{EndpointCall, ProcessSettings};
+use error_stack::Report;
+
+use crate::balancer_task::{BalancerTask, Readiness};
+use crate::config::process_config;
+use crate::flow_metrics::BalancerCounters;
+use crate::route_watch::RouteWatch;
+use crate::session::Session;
+use crate::{endpoints, sockets};
+
+/// Routers ask twice a second and need two misses: after this time no packet comes any more.
+const WITHDRAWN_AFTER: Duration = Duration::from_millis(1500);
+/// Part of the time for a stop that is left for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_secs(2);
+/// A planned stop waits for this long without any packet.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// A running balancer of packet flows.
+#[derive(Debug)]
+pub struct FlowBalancer {
+    /// Its control task.
+    pub node: Node,
+    readiness: Rc<Cell<Readiness>>,
+    counters: BalancerCounters,
+    stop_limit: Duration,
+}
+
+impl FlowBalancer {
+    /// Binds the balancer's addresses and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn spawn(
+        settings: &ProcessSettings,
+        metrics_port: Option<u16>,
+    ) -> Result<Self, Report<NodeError>> {
+        let config = process_config(settings, metrics_port);
+        let spec = NodeSpec {
+            role: Role::Balancer,
+            status: MemberStatus::Serving,
+            settings: SettingsSource::Routes,
+        };
+        let node = Node::spawn(&config, spec).await?;
+        let counters = BalancerCounters::new(&node.handle.metrics)?;
+        let readiness = Rc::new(Cell::new(Readiness::Starting));
+        let socket = sockets::bind("bind packets", settings.packets).await?;
+        let calls = endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats))
+            .await?;
+        compio::runtime::spawn(answer_calls(calls, readiness.clone())).detach();
+
+        let (loads_tx, loads) = flume::unbounded();
+        let (flows_tx, flows) = flume::unbounded();
+        let inlets = Inlets { loads: loads_tx, flows: flows_tx, ..Inlets::closed() };
+        node.handle.set_inlets(inlets);
+        let task = BalancerTask::new(
+            node.handle.clone(),
+            socket,
+            config.control,
+            settings,
+            counters.clone(),
+            readiness.clone(),
+        );
+        compio::runtime::spawn(task.run(loads, flows)).detach();
+        Session::spawn(&node, config.control, settings.shortest_lease);
+        RouteWatch::spawn(&node, config.watchers);
+        Ok(Self { node, readiness, counters, stop_limit: settings.stop_limit })
+    }
+
+    /// Stops as planned: is withdrawn by the routers, forwards what still comes, then ends.
+    pub async fn stop(self) {
+        let handle = &self.node.handle;
+        handle.journal.record(EventKind::Process, "balancer stops", "asked to");
+        self.readiness.set(Readiness::Stopping);
+        handle.leave();
+        let started = handle.clock.now();
+        let limit = self.stop_limit.saturating_sub(STOP_MARGIN).max(WITHDRAWN_AFTER);
+        compio::time::sleep(WITHDRAWN_AFTER).await;
+        loop {
+            let before = self.counters.packets.get();
+            compio::time::sleep(QUIET).await;
+            let quiet = self.counters.packets.get() == before;
+            if quiet || handle.clock.now().since(started) >= limit {
+                let cause = if quiet { "no more packets" } else { "limit reached" };
+                handle.journal.record(EventKind::Process, "balancer stopped", cause);
+                break;
+            }
+        }
+        handle.stopped().await;
+    }
+}
+
+/// Answers the platform; a balancer takes no heartbeats, as it can't speak for a target.
+async fn answer_calls(calls: flume::Receiver<EndpointCall>, readiness: Rc<Cell<Readiness>>) {
+    while let Ok(call) = calls.recv_async().await {
+        match call {
+            EndpointCall::Ready(tx) => {
+                let ready = readiness.get() == Readiness::Ready;
+                let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
+            }
+            EndpointCall::Target(_, tx) => {
+                let _ = tx.send(Accepted::No);
+            }
+            EndpointCall::Malformed { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -0,0 +1,301 @@
+//! Takes the packets of callers and sends each to an agent.
+
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compio::net::UdpSocket;
+use dillmill_core::placement::LoadReport;
+use dillmill_core::{
+    AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
+    ProcessId, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+};
+use dillmill_node::{NodeHandle, View, Views};
+use dillmill_platform::ProcessSettings;
+use dillmill_platform::packet::{self, Sender};
+use dillmill_wire::{FlowMessage, Message, seal_envelope};
+use futures_util::stream::{self, StreamExt};
+
+use crate::decision_log::DecisionLog;
+use crate::flow_metrics::BalancerCounters;
+use crate::sockets::{self, datagrams, ticks};
+
+/// Time between two looks at agents that do not answer.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Whether the routers are to send packets to a balancer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// It knows no routes or no agent yet.
+    Starting,
+    /// It can route.
+    Ready,
+    /// No agent answers it.
+    CutOff,
+    /// It ends.
+    Stopping,
+}
+
+enum Event {
+    Packet(Vec<u8>),
+    Load(LoadReport),
+    Flow(FlowMessage),
+    Tick,
+}
+
+/// Owns the socket of callers and what the balancer remembers of flows.
+pub struct BalancerTask {
+    handle: NodeHandle,
+    views: Views,
+    socket: UdpSocket,
+    control: SocketAddrV4,
+    zone: ZoneName,
+    caller_port: u16,
+    counters: BalancerCounters,
+    log: DecisionLog,
+    readiness: Rc<Cell<Readiness>>,
+    agents: AgentTable,
+    routes: Arc<RouteTable>,
+    owners: OwnerCache,
+    placement: FlowPlacement,
+}
+
+impl BalancerTask {
+    /// Creates the task of a balancer whose messages come to `control`.
+    #[must_use]
+    pub fn new(
+        handle: NodeHandle,
+        socket: UdpSocket,
+        control: SocketAddrV4,
+        settings: &ProcessSettings,
+        counters: BalancerCounters,
+        readiness: Rc<Cell<Readiness>>,
+    ) -> Self {
+        let log = DecisionLog::new(handle.journal.clone(), handle.clock.now());
+        Self {
+            views: handle.views(),
+            handle,
+            socket,
+            control,
+            zone: settings.zone.clone(),
+            caller_port: settings.packets.port(),
+            counters,
+            log,
+            readiness,
+            agents: AgentTable::default(),
+            routes: Arc::default(),
+            owners: OwnerCache::default(),
+            placement: FlowPlacement::default(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(
+        mut self,
+        loads: flume::Receiver<(SocketAddrV4, LoadReport)>,
+        flows: flume::Receiver<(SocketAddrV4, FlowMessage)>,
+    ) {
+        let mut events = stream::select_all([
+            datagrams(self.socket.clone()).map(Event::Packet).boxed_local(),
+            loads.into_stream().map(|(_, report)| Event::Load(report)).boxed_local(),
+            flows.into_stream().map(|(_, message)| Event::Flow(message)).boxed_local(),
+            ticks(TICK).map(|()| Event::Tick).boxed_local(),
+        ]);
+        while let Some(event) = events.next().await {
+            let now = self.handle.clock.now();
+            if let Some(view) = self.views.newer() {
+                self.take_view(&view);
+            }
+            match event {
+                Event::Packet(buf) => self.packet(&buf, now).await,
+                Event::Load(report) => self.placement.report(report),
+                Event::Flow(message) => self.message(message, now).await,
+                Event::Tick => self.tick(now),
+            }
+        }
+    }
+
+    fn take_view(&mut self, view: &View) {
+        self.agents = AgentTable::new(view.members.iter(), &self.zone);
+        self.placement.retain(&self.agents);
+        if let Some(routes) = &view.routes
+            && routes.revision() > self.routes.revision
+        {
+            self.routes = Arc::new(routes.table().after(&self.routes));
+        }
+    }
+
+    fn tick(&mut self, now: Timestamp) {
+        for to in self.placement.to_ask(now) {
+            self.handle.send(to, Message::Flow(FlowMessage::AskLoad));
+        }
+        let before = self.readiness.get();
+        let after = if before == Readiness::Stopping {
+            Readiness::Stopping
+        } else if self.routes.is_empty() || self.agents.iter().next().is_none() {
+            Readiness::Starting
+        } else if self.placement.reaches_any(now) {
+            Readiness::Ready
+        } else {
+            Readiness::CutOff
+        };
+        if before != after {
+            self.readiness.set(after);
+            let what = format!("readiness {before:?} -> {after:?}");
+            let cause = format!(
+                "routes of revision {}, {} agents known",
+                self.routes.revision,
+                self.agents.iter().count()
+            );
+            self.handle.journal.record(EventKind::Process, what, cause);
+        }
+        self.handle.metrics.flows.set(i64::try_from(self.owners.len()).unwrap_or(i64::MAX));
+    }
+
+    async fn packet(&mut self, buf: &[u8], now: Timestamp) {
+        self.counters.packets.inc();
+        let seg = match packet::decode(buf, Sender::Caller) {
+            Ok(seg) => seg,
+            Err(_) => return self.counters.dropped.inc(),
+        };
+        let routes = self.routes.clone();
+        let Some(route) = routes.get(seg.flow.route()) else {
+            return self.no_route(&seg, now).await;
+        };
+        match seg.kind {
+            SegmentKind::Open { copies } => {
+                let Some(service) = route.service(&seg.flow) else {
+                    return self.no_route(&seg, now).await;
+                };
+                self.open(&seg, copies, service, buf, now).await;
+            }
+            SegmentKind::Accept => self.counters.dropped.inc(),
+            SegmentKind::Data | SegmentKind::Finish | SegmentKind::Reset => {
+                let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
+                self.forward(&seg, service, &route.services(), buf, now).await;
+            }
+        }
+    }
+
+    async fn no_route(&mut self, seg: &Segment, now: Timestamp) {
+        if self.routes.is_empty() {
+            return self.counters.dropped.inc();
+        }
+        let seq = match seg.kind {
+            SegmentKind::Open { .. } => 0,
+            SegmentKind::Data if seg.len > 0 => seg.ack,
+            _ => return self.counters.dropped.inc(),
+        };
+        self.owners.forget(&seg.flow);
+        let revision = self.routes.revision;
+        self.log.flow(now, &seg.flow, "reset", || format!("no route in revision {revision}"));
+        self.reset(&seg.flow, seq).await;
+    }
+
+    /// Gives a new flow to an agent; a copy goes to the same one unless that is silent.
+    async fn open(
+        &mut self,
+        seg: &Segment,
+        copies: u32,
+        service: ServiceTag,
+        buf: &[u8],
+        now: Timestamp,
+    ) {
+        let before = self.owners.get(&seg.flow, now).filter(|_| copies > 0);
+        let again = before.filter(|owner| {
+            !self.placement.silent(owner.process, now)
+                && self.agents.serving(service).any(|a| a.process == owner.process)
+        });
+        let (owner, near) = match again {
+            Some(owner) => (owner, true),
+            None => {
+                let not = before.map(|owner| owner.process);
+                match self.placement.place(&seg.flow, service, &self.agents, not, now) {
+                    Some(agent) => {
+                        let owner = Owner { process: agent.process, data: agent.data };
+                        (owner, agent.near)
+                    }
+                    None => return self.refuse(seg, service, now).await,
+                }
+            }
+        };
+        self.counters.placed.inc();
+        if !near {
+            self.counters.placed_far.inc();
+        }
+        let revision = self.routes.revision;
+        self.log.flow(now, &seg.flow, format_args!("placed at {}", owner.process), || {
+            format!("service {service}, revision {revision}, copies {copies}, near {near}")
+        });
+        self.owners.set(seg.flow, owner, now);
+        self.send(service, Errand::Place { passed: Vec::new() }, buf, owner.data).await;
+    }
+
+    /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
+    /// balancer that knows no agent at all has only just started, and waits for the copy instead.
+    async fn refuse(&mut self, seg: &Segment, service: ServiceTag, now: Timestamp) {
+        if self.agents.iter().next().is_none() {
+            return self.counters.dropped.inc();
+        }
+        self.counters.refused.inc();
+        self.log.flow(now, &seg.flow, "refused", || format!("no agent of service {service}"));
+        self.reset(&seg.flow, 0).await;
+    }
+
+    /// Sends a packet of an open flow to its owner, or has the owner searched.
+    async fn forward(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        now: Timestamp,
+    ) {
+        let known = self.owners.get(&seg.flow, now);
+        if let Some(owner) = known.filter(|owner| self.agents.get(owner.process).is_some()) {
+            return self.send(service, Errand::Deliver, buf, owner.data).await;
+        }
+        self.counters.searched.inc();
+        let Some(first) = self.agents.search_order(&seg.flow, services).first().map(|a| a.data)
+        else {
+            return self.counters.dropped.inc();
+        };
+        self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
+            format!("owner {} not known or gone", known.map_or(ProcessId(0), |o| o.process))
+        });
+        self.send(service, Errand::Search { step: 0 }, buf, first).await;
+    }
+
+    async fn send(&self, service: ServiceTag, errand: Errand, packet: &[u8], to: SocketAddrV4) {
+        let revision = self.routes.revision;
+        let envelope = Envelope { service, revision, origin: self.control, errand };
+        let mut buf = Vec::with_capacity(packet.len() + 48);
+        seal_envelope(&envelope, packet, &mut buf);
+        if !sockets::send(&self.socket, buf, to).await {
+            self.counters.dropped.inc();
+        }
+    }
+
+    async fn reset(&self, flow: &FlowTuple, seq: u32) {
+        let to = SocketAddrV4::new(*flow.caller().ip(), self.caller_port);
+        sockets::send(&self.socket, packet::reset(flow, seq).to_vec(), to).await;
+    }
+
+    async fn message(&mut self, message: FlowMessage, now: Timestamp) {
+        match message {
+            FlowMessage::Owner { flow, owner, data } => {
+                self.owners.set(flow, Owner { process: owner, data }, now);
+            }
+            FlowMessage::Missing { flow, caller_expects } => {
+                if self.owners.missing(flow, now) {
+                    self.counters.missing.inc();
+                    self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
+                    self.reset(&flow, caller_expects).await;
+                }
+            }
+            FlowMessage::Records(_) | FlowMessage::AskLoad => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/config.rs
@@ -0,0 +1,40 @@
+//! The configuration of a process from the settings that the platform gives it.
+
+use std::net::SocketAddrV4;
+
+use dillmill_core::{Secret, watch_duty};
+use dillmill_node::{LogLevel, ProcessConfig};
+use dillmill_platform::ProcessSettings;
+use sha2::{Digest, Sha256};
+
+/// Processes of the fleet that watch the operator's configuration.
+///
+/// Each change wakes every watch, and each call is paid for; three leave two when one is lost.
+const WATCHERS: usize = 3;
+
+/// Derives the configuration of a process; `metrics_port` is that of its administration page.
+///
+/// The platform gives processes no secret, so the key of the installation follows from the address
+/// of the store: it keeps apart installations and processes that got a reused address, and is no
+/// protection against an attacker on the network.
+#[must_use]
+pub fn process_config(settings: &ProcessSettings, metrics_port: Option<u16>) -> ProcessConfig {
+    let control_port = settings.own_ports.0;
+    let at = |port| SocketAddrV4::new(settings.ip, port);
+    let digest = Sha256::digest(format!("dillmill {}", settings.store));
+    let key: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    ProcessConfig {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        control: at(control_port),
+        data: settings.packets,
+        admin: metrics_port.map(at),
+        platform: format!("http://{}", settings.store),
+        cluster_key: Secret::from(key),
+        peers: settings.peers.iter().map(|ip| SocketAddrV4::new(*ip, control_port)).collect(),
+        watchers: WATCHERS.min(watch_duty::WATCHERS),
+        log: LogLevel::Info,
+        balancer: None,
+        agent: None,
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -0,0 +1,101 @@
+//! Counters and histograms of packet flows.
+
+use dillmill_node::{Metrics, NodeError};
+use prometheus::{Histogram, IntCounter, IntGauge};
+
+/// Upper bounds of the buckets of waits, in seconds: from a round trip inside a data centre to the
+/// deadline of a caller.
+const WAIT_BUCKETS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// What a balancer counts.
+#[derive(Debug, Clone)]
+pub struct BalancerCounters {
+    /// Packets of callers.
+    pub packets: IntCounter,
+    /// New flows given to an agent.
+    pub placed: IntCounter,
+    /// New flows given to an agent in another data centre.
+    pub placed_far: IntCounter,
+    /// New flows refused, with a reset.
+    pub refused: IntCounter,
+    /// Packets whose owner was not known.
+    pub searched: IntCounter,
+    /// Flows reset because no agent holds them.
+    pub missing: IntCounter,
+    /// Packets dropped: unreadable, or nobody to send them to.
+    pub dropped: IntCounter,
+}
+
+impl BalancerCounters {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is taken.
+    pub fn new(metrics: &Metrics) -> Result<Self, NodeError> {
+        Ok(Self {
+            packets: metrics.counter("dillmill_flow_packets", "Packets of callers")?,
+            placed: metrics.counter("dillmill_flow_placed", "New flows given to an agent")?,
+            placed_far: metrics
+                .counter("dillmill_flow_placed_far", "New flows given to another data centre")?,
+            refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            searched: metrics
+                .counter("dillmill_flow_searched", "Packets whose owner was not known")?,
+            missing: metrics
+                .counter("dillmill_flow_missing", "Flows reset because no agent holds them")?,
+            dropped: metrics.counter("dillmill_flow_dropped", "Packets dropped")?,
+        })
+    }
+}
+
+/// What an agent counts.
+#[derive(Debug, Clone)]
+pub struct AgentCounters {
+    /// Packets handed to the target.
+    pub delivered: IntCounter,
+    /// Packets of the target sent to callers.
+    pub answered: IntCounter,
+    /// New flows passed to another agent.
+    pub passed_on: IntCounter,
+    /// Packets of flows passed on in search of their owner.
+    pub searched: IntCounter,
+    /// New flows refused, with a reset.
+    pub refused: IntCounter,
+    /// Packets that the target gave back.
+    pub returned: IntCounter,
+    /// Packets dropped.
+    pub dropped: IntCounter,
+    /// Requests without an answer now.
+    pub requests: IntGauge,
+    /// From the first bytes of a request to the first bytes of its answer, in seconds.
+    pub answer_seconds: Histogram,
+}
+
+impl AgentCounters {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is taken.
+    pub fn new(metrics: &Metrics) -> Result<Self, NodeError> {
+        Ok(Self {
+            delivered: metrics
+                .counter("dillmill_flow_delivered", "Packets handed to the target")?,
+            answered: metrics.counter("dillmill_flow_answered", "Packets sent to callers")?,
+            passed_on: metrics
+                .counter("dillmill_flow_passed_on", "New flows passed to another agent")?,
+            searched: metrics
+                .counter("dillmill_flow_searched", "Packets passed on in search of the owner")?,
+            refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            returned: metrics
+                .counter("dillmill_flow_returned", "Packets that the target gave back")?,
+            dropped: metrics.counter("dillmill_flow_dropped", "Packets dropped")?,
+            requests: metrics.gauge("dillmill_flow_requests", "Requests without an answer now")?,
+            answer_seconds: metrics.histogram(
+                "dillmill_flow_answer_seconds",
+                "First bytes of a request to first bytes of its answer",
+                &WAIT_BUCKETS,
+            )?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/lib.rs
@@ -0,0 +1,31 @@
+//! The edges of packet flows: the balancer and the agent as they run on the users' platform.
+//!
+//! A caller's packets go from the platform's routers to a [`FlowBalancer`], from there in an
+//! envelope to the [`FlowAgent`] beside a target, and to the target. A target's packets go to its
+//! agent and from there straight to the caller. Neither end's bytes are changed.
+//!
+//! | Module | Job |
+//! |---|---|
+//! | [`balancer`], [`balancer_task`] | takes packets of callers, chooses agents |
+//! | [`agent`], [`agent_task`] | last word before a target; finds flows again |
+//! | [`registrations`] | tells directories about the flows of a target |
+//! | [`session`] | the process's entry in the store, and who else is there |
+//! | [`route_watch`] | reads the operator's configuration |
+//! | [`endpoints`] | readiness and heartbeats |
+//! | [`decision_log`] | one line a decision, bounded |
+
+pub mod agent;
+pub mod agent_task;
+pub mod balancer;
+pub mod balancer_task;
+pub mod config;
+pub mod decision_log;
+pub mod endpoints;
+pub mod flow_metrics;
+pub mod registrations;
+pub mod route_watch;
+pub mod session;
+pub mod sockets;
+
+pub use agent::FlowAgent;
+pub use balancer::FlowBalancer;
--- /dev/null
+++ b/crates/dillmill-flow/src/route_watch.rs
@@ -0,0 +1,137 @@
+//! Reads the operator's configuration from the store.
+//!
+//! A few processes watch it and pass each new revision on; the others read it only when nobody has
+//! shown them any. A watch alone does not tell whether the store still answers, so only processes
+//! whose leases are being renewed have the duty.
+
+use std::time::Duration;
+
+use dillmill_core::{EventKind, Role, watch_duty};
+use dillmill_node::{Node, NodeHandle, View, Views};
+use dillmill_platform::store_protocol::DOCUMENT_KEY;
+use dillmill_platform::{Entry, PlatformError, Store, Version, WatchOutcome, document};
+use error_stack::Report;
+
+/// Longest wait of one watch. A watch that is cut without a word is noticed by then at the latest;
+/// every watch that ends empty is a call that is paid for.
+const WATCH: Duration = Duration::from_secs(10);
+/// Wait between two events: changes that come faster are read as one.
+const GATHER: Duration = Duration::from_millis(100);
+/// How long a process that starts waits for its peers' routes before it reads the store.
+const PEERS_FIRST: Duration = Duration::from_millis(400);
+/// Wait after a failed call.
+const RETRY: Duration = Duration::from_millis(300);
+/// How often a process without the duty looks whether it has it now.
+const OFF_DUTY: Duration = Duration::from_millis(250);
+
+/// Watches the configuration for as long as the process lives.
+#[derive(Debug)]
+pub struct RouteWatch {
+    store: Store,
+    handle: NodeHandle,
+    views: Views,
+    view: Option<std::sync::Arc<View>>,
+    watchers: usize,
+    after: Option<Version>,
+}
+
+type Step<T> = Result<T, Report<PlatformError>>;
+
+impl RouteWatch {
+    /// Starts the task; `watchers` processes of the fleet watch.
+    pub fn spawn(node: &Node, watchers: usize) {
+        let watch = Self {
+            store: node.store.clone(),
+            handle: node.handle.clone(),
+            views: node.handle.views(),
+            view: None,
+            watchers,
+            after: None,
+        };
+        compio::runtime::spawn(watch.run()).detach();
+    }
+
+    async fn run(mut self) {
+        compio::time::sleep(PEERS_FIRST).await;
+        loop {
+            self.view = self.views.newer().or(self.view.take());
+            let has_routes = self.view.as_ref().is_some_and(|view| view.routes.is_some());
+            if has_routes && !self.on_duty() {
+                self.after = None;
+                compio::time::sleep(OFF_DUTY).await;
+                continue;
+            }
+            let pause = match self.step().await {
+                Ok(()) => GATHER,
+                Err(report) => {
+                    self.after = None;
+                    self.handle.metrics.platform_errors.inc();
+                    let cause = report.current_context().to_string();
+                    self.handle.journal.record(EventKind::Platform, "routes not read", cause);
+                    RETRY
+                }
+            };
+            compio::time::sleep(pause).await;
+        }
+    }
+
+    /// Returns whether this process watches. Agents do before balancers, which are thin.
+    fn on_duty(&self) -> bool {
+        let Some(view) = &self.view else { return false };
+        let able = |m: &&dillmill_core::Member| {
+            m.reaches_store && m.status < dillmill_core::MemberStatus::Suspect
+        };
+        let agents = || view.members.iter().filter(able).filter(|m| matches!(m.role, Role::Agent(_)));
+        let now = self.handle.clock.now();
+        let me = view.me.process;
+        if agents().count() >= self.watchers {
+            return agents().any(|m| m.process == me)
+                && watch_duty::watches(me, agents().map(|m| m.process), self.watchers, now);
+        }
+        view.me.reaches_store
+            && watch_duty::watches(
+                me,
+                view.members.iter().filter(able).map(|m| m.process),
+                self.watchers,
+                now,
+            )
+    }
+
+    async fn step(&mut self) -> Step<()> {
+        let Some(after) = self.after else { return self.read().await };
+        match self.store.watch(DOCUMENT_KEY, after, WATCH).await? {
+            WatchOutcome::HistoryGone => {
+                let cause = format!("store has forgotten what came after {after}");
+                self.handle.journal.record(EventKind::Platform, "watch starts again", cause);
+                self.read().await
+            }
+            WatchOutcome::Changes(changes) => {
+                if let Some(newest) = changes.entries.iter().rfind(|e| e.key == DOCUMENT_KEY && !e.removed) {
+                    self.take(newest);
+                }
+                self.after = Some(changes.current.max(after));
+                Ok(())
+            }
+        }
+    }
+
+    /// Reads the whole configuration, and from where a watch can go on.
+    async fn read(&mut self) -> Step<()> {
+        let page = self.store.list(DOCUMENT_KEY, "").await?;
+        if let Some(entry) = page.entries.iter().find(|e| e.key == DOCUMENT_KEY) {
+            self.take(entry);
+        }
+        self.after = Some(page.current);
+        Ok(())
+    }
+
+    fn take(&self, entry: &Entry) {
+        match document::decode(&entry.value) {
+            Ok(routes) => self.handle.put_routes(format!("store version {}", entry.version), routes),
+            Err(e) => {
+                let what = format!("configuration of store version {} not used", entry.version);
+                self.handle.journal.record(EventKind::Settings, what, e.to_string());
+            }
+        }
+    }
+}
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -10,13 +10,13 @@
 use dillmill_core::{
     Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
 };
-use dillmill_settings::{Change, Tree};
+use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::stream::describe;
 use dillmill_wire::{Message, ProcessStatus, Reply, StreamMessage};
 
 use crate::handle::{Inlets, NodeHandle, Question, with_draw};
 use crate::views::ViewSender;
-use crate::{View, client};
+use crate::{SettingsSource, View, client};
 
 mod input;
 
@@ -37,6 +37,9 @@
     pub(crate) membership: Membership,
     pub(crate) tree: Tree,
     pub(crate) settings: Option<Arc<dillmill_settings::CompiledTree>>,
+    pub(crate) routes: Option<Arc<RouteTree>>,
+    /// Revision of routes that a peer was asked for, and when.
+    pub(crate) routes_asked: Option<(Revision, Timestamp)>,
     pub(crate) recent: VecDeque<Change>,
     pub(crate) events: EventLog,
     pub(crate) inlets: Option<Inlets>,
@@ -45,6 +48,7 @@
     pub(crate) pulled: Option<(Revision, SocketAddrV4, Timestamp)>,
     pub(crate) platform_reachable: bool,
     pub(crate) shown: Option<(u64, Revision)>,
+    pub(crate) settings_source: SettingsSource,
 }
 
 impl Control {
@@ -53,6 +57,7 @@
         socket: UdpSocket,
         me: Member,
         seeds: Vec<SocketAddrV4>,
+        settings_source: SettingsSource,
     ) -> Self {
         Self {
             handle,
@@ -60,6 +65,8 @@
             membership: Membership::new(me).seeds(seeds),
             tree: Tree::default(),
             settings: None,
+            routes: None,
+            routes_asked: None,
             recent: VecDeque::new(),
             events: EventLog::new(TIMELINE_CAPACITY),
             inlets: None,
@@ -68,6 +75,7 @@
             pulled: None,
             platform_reachable: false,
             shown: None,
+            settings_source,
         }
     }
 
@@ -102,6 +110,12 @@
             Input::Settings { source, changes, tree } => {
                 self.take_settings(&source, changes, tree, now).await;
             }
+            Input::Routes { source, routes } => self.take_routes(&source, routes).await,
+            Input::UpdateMe(change) => {
+                self.membership.update_me(change);
+                self.tick(now).await;
+            }
+            Input::Seeds(seeds) => self.membership.add_seeds(seeds),
             Input::Members(members) => {
                 for member in members {
                     self.membership.learn(member, now);
@@ -136,7 +150,7 @@
     async fn datagram(&mut self, from: SocketAddrV4, message: Message, now: Timestamp) {
         match message {
             Message::Probe(probe) => {
-                self.learn_revision(from, &probe).await;
+                self.learn_revision(from, &probe, now).await;
                 let out = self.membership.receive(from, probe, now);
                 self.send_all(out).await;
                 self.sync_if_wanted();
@@ -146,6 +160,11 @@
                     let _ = inlets.loads.send((from, report));
                 }
             }
+            Message::Flow(message) => {
+                if let Some(inlets) = &self.inlets {
+                    let _ = inlets.flows.send((from, message));
+                }
+            }
             Message::Pull { after } => self.send_changes(from, after).await,
             Message::Changes(changes) => {
                 self.take_settings(&format!("peer {from}"), changes, None, now).await;
@@ -170,10 +189,13 @@
         &mut self,
         from: SocketAddrV4,
         probe: &dillmill_core::membership::Probe,
+        now: Timestamp,
     ) {
         use dillmill_core::membership::Probe;
         let (Probe::Ping { digest, .. } | Probe::Ack { digest, .. }) = probe else { return };
-        if digest.revision > self.tree.revision {
+        if self.settings_source == SettingsSource::Routes {
+            self.ask_for_routes(from, digest.revision, now);
+        } else if digest.revision > self.tree.revision {
             if digest.revision.0 - self.tree.revision.0 > CHANGES_PER_DATAGRAM as u64 {
                 self.sync_with(from);
             } else {
@@ -184,6 +206,36 @@
         }
     }
 
+    /// Asks a peer for its routes, unless a peer is being asked for as new ones.
+    fn ask_for_routes(&mut self, from: SocketAddrV4, shown: Revision, now: Timestamp) {
+        let asked = self
+            .routes_asked
+            .is_some_and(|(revision, at)| shown <= revision && now.since(at) < PULL_PATIENCE);
+        if shown > self.revision() && !asked {
+            self.routes_asked = Some((shown, now));
+            self.sync_with(from);
+        }
+    }
+
+    /// Puts newer routes in force and shows their revision to peers, which then ask for them.
+    async fn take_routes(&mut self, source: &str, routes: RouteTree) {
+        let revision = routes.revision();
+        if self.routes.as_ref().is_some_and(|old| old.revision() >= revision) {
+            return;
+        }
+        let count = routes.routes().len();
+        self.routes = Some(Arc::new(routes));
+        self.membership.set_revision(revision);
+        self.handle.metrics.revision.set(i64::try_from(revision.0).unwrap_or(i64::MAX));
+        let what = format!("revision {revision} with {count} routes in force");
+        self.handle.journal.record(EventKind::Settings, what, source);
+        self.push_changes(Vec::new()).await;
+    }
+
+    fn revision(&self) -> Revision {
+        self.routes.as_ref().map_or(self.tree.revision, |routes| routes.revision())
+    }
+
     /// Changes that a peer has and that don't come by datagram, lost or too long, come by stream.
     fn sync_if_pull_failed(&mut self, now: Timestamp) {
         let Some((after, peer, at)) = self.pulled else { return };
@@ -296,15 +348,18 @@
     fn sync_with(&self, peer: SocketAddrV4) {
         let question = StreamMessage::Sync {
             buckets: self.membership.buckets(),
-            after: self.tree.revision,
+            after: self.revision(),
             me: self.membership.me().clone(),
         };
         let handle = self.handle.clone();
         compio::runtime::spawn(async move {
             let answer = client::ask(peer, &handle.key, &question).await;
-            if let Ok(StreamMessage::Synced { members, changes, tree }) = answer {
+            if let Ok(StreamMessage::Synced { members, changes, tree, routes }) = answer {
                 let _ = handle.tx.send(Input::Members(members));
                 let source = format!("peer {peer}");
+                if let Some(routes) = routes {
+                    handle.put_routes(source.clone(), routes);
+                }
                 let _ = handle.tx.send(Input::Settings { source, changes, tree });
             }
         })
@@ -340,19 +395,22 @@
         let changes: Vec<Change> =
             self.recent.iter().filter(|change| change.revision > after).cloned().collect();
         let follows = changes.first().is_some_and(|change| change.revision == after.next());
+        let routes = self.routes.as_ref().filter(|r| r.revision() > after);
+        let routes = routes.map(|r| RouteTree::clone(r));
         if self.tree.revision <= after {
-            StreamMessage::Synced { members, changes: Vec::new(), tree: None }
+            StreamMessage::Synced { members, changes: Vec::new(), tree: None, routes }
         } else if follows {
-            StreamMessage::Synced { members, changes, tree: None }
+            StreamMessage::Synced { members, changes, tree: None, routes }
         } else {
-            StreamMessage::Synced { members, changes: Vec::new(), tree: Some(self.tree.clone()) }
+            let tree = Some(self.tree.clone());
+            StreamMessage::Synced { members, changes: Vec::new(), tree, routes }
         }
     }
 
     fn status(&self) -> ProcessStatus {
         ProcessStatus {
             member: self.membership.me().clone(),
-            revision: self.settings.as_ref().map_or(Revision(0), |tree| tree.revision()),
+            revision: self.in_force(),
             platform_reachable: self.platform_reachable,
             flows: u64::try_from(self.handle.metrics.flows.get()).unwrap_or(0),
             serving: self
@@ -378,19 +436,22 @@
         self.handle.metrics.members.set(i64::try_from(self.membership.fleet()).unwrap_or(i64::MAX));
     }
 
+    fn in_force(&self) -> Revision {
+        let tree = self.settings.as_ref().map_or(Revision(0), |tree| tree.revision());
+        tree.max(self.routes.as_ref().map_or(Revision(0), |routes| routes.revision()))
+    }
+
     fn view(&self) -> View {
         View {
             me: self.membership.me().clone(),
             members: Arc::new(self.membership.all().cloned().collect()),
             settings: self.settings.clone(),
+            routes: self.routes.clone(),
         }
     }
 
     fn publish(&mut self) {
-        let state = (
-            self.membership.generation(),
-            self.settings.as_ref().map_or(Revision(0), |tree| tree.revision()),
-        );
+        let state = (self.membership.generation(), self.in_force());
         if self.shown == Some(state) {
             return;
         }
--- a/crates/dillmill-node/src/control/input.rs
+++ b/crates/dillmill-node/src/control/input.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use dillmill_core::{EventKind, Member, Timestamp};
-use dillmill_settings::{Change, Tree};
+use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::{Message, Reply, StreamMessage};
 
 use crate::Handed;
@@ -11,7 +11,6 @@
 use crate::views::ViewSender;
 
 /// Everything that the control task takes in.
-#[derive(Debug)]
 pub(crate) enum Input {
     /// A datagram of a process.
     Datagram {
@@ -58,6 +57,17 @@
         /// A whole tree.
         tree: Option<Tree>,
     },
+    /// A tree of routes, from the platform or a peer.
+    Routes {
+        /// Where it came from.
+        source: String,
+        /// The tree.
+        routes: RouteTree,
+    },
+    /// Change this process's own record.
+    UpdateMe(Box<dyn FnOnce(&mut Member) + Send>),
+    /// Join through these control addresses besides the ones of the settings.
+    Seeds(Vec<SocketAddrV4>),
     /// Member records from a peer.
     Members(Vec<Member>),
     /// An event of another task.
--- a/crates/dillmill-node/src/handle.rs
+++ b/crates/dillmill-node/src/handle.rs
@@ -6,8 +6,9 @@
 use dillmill_core::claims::RingMember;
 use dillmill_core::membership::Draw;
 use dillmill_core::placement::LoadReport;
-use dillmill_core::{EventKind, ProcessId, ServiceName, VmName};
-use dillmill_wire::{Ask, ClusterKey, HandedRequest, Message, Reply};
+use dillmill_core::{EventKind, Member, ProcessId, ServiceName, VmName};
+use dillmill_settings::RouteTree;
+use dillmill_wire::{Ask, ClusterKey, FlowMessage, HandedRequest, Message, Reply};
 use rand::Rng;
 
 use crate::control::Input;
@@ -35,6 +36,16 @@
         self.at_level(log::Level::Debug, kind, what.into(), cause.into());
     }
 
+    /// Writes into the log only: for lines that would push all others out of the time line.
+    pub fn log_only(&self, kind: EventKind, what: &str, cause: &str) {
+        let (now, level) = (self.clock.now(), log::Level::Info);
+        if log::log_enabled!(level) {
+            let kind = kind.to_string();
+            let line = logging::line(now, level, self.vm.as_str(), &kind, what, cause);
+            log::log!(level, "{line}");
+        }
+    }
+
     fn at_level(&self, level: log::Level, kind: EventKind, what: String, cause: String) {
         let now = self.clock.now();
         if log::log_enabled!(level) {
@@ -80,6 +91,20 @@
     pub loads: flume::Sender<(SocketAddrV4, LoadReport)>,
     /// Requests handed over.
     pub handed: flume::Sender<Handed>,
+    /// Messages about packet flows, with their senders.
+    pub flows: flume::Sender<(SocketAddrV4, FlowMessage)>,
+}
+
+impl Inlets {
+    /// Returns inlets that take nothing, for a role to fill in those it uses.
+    #[must_use]
+    pub fn closed() -> Self {
+        let (questions, _) = flume::bounded(0);
+        let (loads, _) = flume::bounded(0);
+        let (handed, _) = flume::bounded(0);
+        let (flows, _) = flume::bounded(0);
+        Self { questions, loads, handed, flows }
+    }
 }
 
 /// A handle on the control task.
@@ -153,6 +178,26 @@
         Err(NodeError::new("ask", to.control, "no answer"))
     }
 
+    /// Changes this process's own record and spreads it.
+    pub fn update_me(&self, change: impl FnOnce(&mut Member) + Send + 'static) {
+        let _ = self.tx.send(Input::UpdateMe(Box::new(change)));
+    }
+
+    /// Puts a tree of routes in force if it is newer, and passes it on.
+    pub fn put_routes(&self, source: impl Into<String>, routes: RouteTree) {
+        let _ = self.tx.send(Input::Routes { source: source.into(), routes });
+    }
+
+    /// Joins through the processes at these control addresses, besides those of the settings.
+    pub fn add_seeds(&self, seeds: Vec<SocketAddrV4>) {
+        let _ = self.tx.send(Input::Seeds(seeds));
+    }
+
+    /// Says whether the platform answered, and what.
+    pub fn platform_answered(&self, reachable: bool, cause: impl Into<String>) {
+        let _ = self.tx.send(Input::Platform { reachable, cause: cause.into() });
+    }
+
     /// Says that this process takes no new work from now on.
     pub fn leave(&self) {
         let _ = self.tx.send(Input::Leave);
--- a/crates/dillmill-node/src/logging.rs
+++ b/crates/dillmill-node/src/logging.rs
@@ -1,12 +1,14 @@
-//! JSON lines on standard error.
+//! JSON lines on standard output.
 
-use std::io;
+use std::io::{self, LineWriter};
+use std::sync::OnceLock;
 
 use log::LevelFilter;
 use serde_json::json;
 use simplelog::{ConfigBuilder, WriteLogger};
 
 use crate::LogLevel;
+use crate::log_writer::LogWriter;
 use dillmill_core::Timestamp;
 
 impl From<LogLevel> for LevelFilter {
@@ -20,6 +22,8 @@
     }
 }
 
+static WRITER: OnceLock<LogWriter> = OnceLock::new();
+
 /// Starts logging. A second call changes nothing.
 pub fn start(level: LogLevel) {
     let config = ConfigBuilder::new()
@@ -31,7 +35,16 @@
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("dillmill")
         .build();
-    let _ = WriteLogger::init(level.into(), config, io::stderr());
+    let Ok(writer) = LogWriter::spawn(io::stdout()) else { return };
+    let writer = WRITER.get_or_init(|| writer);
+    let _ = WriteLogger::init(level.into(), config, LineWriter::new(writer.clone()));
+}
+
+/// Waits a little until the lines so far are written; for the end of a process.
+pub fn flush() {
+    if let Some(writer) = WRITER.get() {
+        writer.wait();
+    }
 }
 
 /// Formats one line.
--- a/crates/dillmill-node/src/metrics.rs
+++ b/crates/dillmill-node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics that every process has; each role adds its own to the same registry.
 
-use prometheus::{Encoder, IntCounter, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder};
 
 use crate::NodeError;
 
@@ -75,6 +75,19 @@
         gauge(&self.registry, name, help)
     }
 
+    /// Adds a histogram whose buckets end at `bounds`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is taken or the bounds do not rise.
+    pub fn histogram(&self, name: &str, help: &str, bounds: &[f64]) -> Result<Histogram, NodeError> {
+        let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+        let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+        let metric = Histogram::with_opts(opts).map_err(error)?;
+        self.registry.register(Box::new(metric.clone())).map_err(error)?;
+        Ok(metric)
+    }
+
     /// Returns all metrics in Prometheus' text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -6,7 +6,8 @@
 use compio::buf::BufResult;
 use compio::net::{TcpListener, TcpStream, UdpSocket};
 use dillmill_core::{EventKind, Member, MemberStatus, ProcessId, Role, Weight};
-use dillmill_platform::{Platform, SettingsStore};
+use dillmill_platform::Store;
+use dillmill_store::SettingsStore;
 use dillmill_wire::{ClusterKey, StreamMessage};
 use error_stack::Report;
 use rand::Rng;
@@ -28,6 +29,17 @@
     pub role: Role,
     /// Standing at start: a process that is not ready yet starts as leaving.
     pub status: MemberStatus,
+    /// What the process is configured by.
+    pub settings: SettingsSource,
+}
+
+/// What a process is configured by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SettingsSource {
+    /// The tree of HTTP/3 services, whose changes are a log in the store.
+    Tree,
+    /// The tree of routes; its role reads it and calls [`NodeHandle::put_routes`].
+    Routes,
 }
 
 /// A running control task.
@@ -35,8 +47,8 @@
 pub struct Node {
     /// How to reach it.
     pub handle: NodeHandle,
-    /// The platform.
-    pub platform: Platform,
+    /// The platform's store.
+    pub store: Store,
     /// Address of the administration page.
     pub admin: SocketAddr,
 }
@@ -64,7 +76,7 @@
         let admin = admin_listener
             .local_addr()
             .map_err(NodeError::io("bind administration", admin_addr))?;
-        let platform = Platform::new(&config.platform)
+        let store = Store::new(&config.platform)
             .map_err(|e| NodeError::new("reach", &config.platform, e.current_context()))?;
 
         let (tx, rx) = flume::unbounded();
@@ -82,6 +94,7 @@
             weight: Weight(100),
             version: 1,
             status: spec.status,
+            reaches_store: false,
         };
         let what = format!("{} {} started", me.role, me.vm);
         handle.journal.record(EventKind::Process, what, format!("process {process}"));
@@ -90,17 +103,18 @@
         compio::runtime::spawn(accept(listener, handle.clone())).detach();
         compio::runtime::spawn(tick(tx)).detach();
         compio::runtime::spawn(admin::serve(admin_listener, handle.clone())).detach();
-        let store = SettingsStore::new(platform.clone());
-        compio::runtime::spawn(store_task::run(
-            store,
-            handle.clone(),
-            config.watchers,
-            !config.peers.is_empty(),
-        ))
-        .detach();
-        let control = Control::new(handle.clone(), socket, me, config.peers.clone());
+        if spec.settings == SettingsSource::Tree {
+            compio::runtime::spawn(store_task::run(
+                SettingsStore::new(store.clone()),
+                handle.clone(),
+                config.watchers,
+                !config.peers.is_empty(),
+            ))
+            .detach();
+        }
+        let control = Control::new(handle.clone(), socket, me, config.peers.clone(), spec.settings);
         compio::runtime::spawn(control.run(rx)).detach();
-        Ok(Self { handle, platform, admin })
+        Ok(Self { handle, store, admin })
     }
 }
 
--- a/crates/dillmill-node/src/store_task.rs
+++ b/crates/dillmill-node/src/store_task.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillmill_core::{MemberStatus, Revision, watch_duty};
-use dillmill_platform::SettingsStore;
+use dillmill_store::SettingsStore;
 use dillmill_settings::Tree;
 
 use crate::control::Input;
--- a/crates/dillmill-node/src/view.rs
+++ b/crates/dillmill-node/src/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use dillmill_core::{HomeTable, Member, MemberStatus, ProcessId, Revision, Role, ServiceName};
-use dillmill_settings::CompiledTree;
+use dillmill_settings::{CompiledTree, RouteTree};
 
 /// The members and the settings at one moment.
 #[derive(Debug, Clone)]
@@ -14,13 +14,17 @@
     pub members: Arc<Vec<Member>>,
     /// The settings in force; `None` until a first tree came.
     pub settings: Option<Arc<CompiledTree>>,
+    /// The routes of packet flows in force; `None` until the first came.
+    pub routes: Option<Arc<RouteTree>>,
 }
 
 impl View {
     /// Returns the settings revision in force, 0 before the first.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.settings.as_ref().map_or(Revision(0), |tree| tree.revision())
+        let tree = self.settings.as_ref().map_or(Revision(0), |tree| tree.revision());
+        let routes = self.routes.as_ref().map_or(Revision(0), |routes| routes.revision());
+        tree.max(routes)
     }
 
     /// Returns the agents of `service` that take new flows.
--- /dev/null
+++ b/crates/dillmill-settings/src/route_tree.rs
@@ -0,0 +1,113 @@
+//! The tree of settings of packet flows: a root, a branch for each service, a leaf for each route.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+use dillmill_core::{Interval, Revision, RouteEntry, RouteTable, ServiceName, ServiceTag, Weight};
+use serde::{Deserialize, Serialize};
+
+/// The branch of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteService {
+    /// Name.
+    pub name: ServiceName,
+    /// Path under which its targets tell their health, over HTTP/1.1.
+    pub health_path: Option<String>,
+}
+
+/// The leaf of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name.
+    pub name: String,
+    /// Address that callers use.
+    pub address: SocketAddrV4,
+    /// Services with their shares of new flows.
+    pub shares: Vec<(ServiceName, Weight)>,
+    /// Time for a request on the route.
+    pub timeout: Option<Interval>,
+    /// Time within which an answer is of full use.
+    pub latency_aim: Option<Interval>,
+}
+
+/// Why a tree can't be put in force.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RouteTreeError {
+    /// A route without any service.
+    #[error("route `{0}` has no service")]
+    NoService(String),
+    /// Two services with one tag.
+    #[error("services `{0}` and `{1}` have the same tag: rename one")]
+    SameTag(ServiceName, ServiceName),
+}
+
+/// A whole tree of one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTree {
+    revision: Revision,
+    idle_timeout_ms: u64,
+    services: Vec<RouteService>,
+    routes: Vec<Route>,
+}
+
+impl RouteTree {
+    /// Creates and checks a tree.
+    ///
+    /// # Errors
+    ///
+    /// Names the route or the services that are wrong.
+    pub fn new(
+        revision: Revision,
+        idle_timeout: Interval,
+        services: Vec<RouteService>,
+        routes: Vec<Route>,
+    ) -> Result<Self, RouteTreeError> {
+        if let Some(route) = routes.iter().find(|r| r.shares.is_empty()) {
+            return Err(RouteTreeError::NoService(route.name.clone()));
+        }
+        let mut tags: HashMap<ServiceTag, &ServiceName> = HashMap::new();
+        let named = routes.iter().flat_map(|r| r.shares.iter().map(|(name, _)| name));
+        for name in named.chain(services.iter().map(|s| &s.name)) {
+            let other = *tags.entry(name.into()).or_insert(name);
+            if other != name {
+                return Err(RouteTreeError::SameTag(other.clone(), name.clone()));
+            }
+        }
+        let idle_timeout_ms = u64::try_from(idle_timeout.duration().as_millis()).unwrap_or(0);
+        Ok(Self { revision, idle_timeout_ms, services, routes })
+    }
+
+    /// Returns the revision.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the time after which a resting flow may be forgotten: the root's, for all routes.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Interval {
+        Interval::from_millis(self.idle_timeout_ms)
+    }
+
+    /// Returns the branch of a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&RouteService> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+
+    /// Returns the leaves.
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Returns the routes, ready for look-ups.
+    #[must_use]
+    pub fn table(&self) -> RouteTable {
+        let entry = |route: &Route| {
+            let shares = route.shares.iter().map(|(name, weight)| (name.into(), *weight)).collect();
+            (route.address, RouteEntry { shares, former: Vec::new() })
+        };
+        RouteTable::new(self.revision, self.routes.iter().map(entry))
+    }
+}
--- a/crates/dillmill-standins/src/platform.rs
+++ b/crates/dillmill-standins/src/platform.rs
@@ -1,10 +1,7 @@
-//! The platform: keys with versions, compare-and-swap, leases, watches, a lagging list of VMs, and
-//! faults that tests switch on.
-//!
-//! dillmill itself uses neither leases nor the list: see docs/design/at-most-once.md and
-//! docs/design/membership.md. They are here because the platform has them.
+//! The platform's store: entries with versions, transactions, leases, watches with a bounded
+//! history, and faults that tests switch on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,17 +9,25 @@
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post, put};
+use axum::routing::{delete, get, post};
 use axum::{Json, Router};
-use dillmill_platform::{Entry, Version};
+use dillmill_platform::store_protocol::{
+    COMMIT_PATH, Changes, Committed, Conflict, END_PATH, GRANT_PATH, GrantRequest, KEY_PATH,
+    RANGE_PATH, RENEW_PATH, WATCH_PATH,
+};
+use dillmill_platform::{Entry, Lease, LeaseId, Page, Transaction, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::StandinError;
 use crate::serve::{self, pause};
 
 const WATCH_POLL: Duration = Duration::from_millis(5);
+/// Changes that a watch can still be told of.
+const HISTORY: usize = 10_000;
+/// Entries of one page, as the platform's pages say.
+const PAGE: usize = 500;
 
-/// Faults of the platform.
+/// Faults of the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
@@ -32,6 +37,8 @@
     pub slow_ms: u64,
     /// This many writes take effect without an answer.
     pub lose_write_answers: u32,
+    /// Every watch is told that its history is gone, until this is switched off.
+    pub forget_history: bool,
 }
 
 /// Calls counted since the start.
@@ -43,72 +50,112 @@
     pub writes: u64,
     /// Watches waiting now.
     pub watches: u64,
+    /// Renewals of leases.
+    pub renewals: u64,
 }
 
 #[derive(Debug, Default)]
-struct Store {
+struct Inner {
     entries: BTreeMap<String, Entry>,
-    last_version: u64,
+    history: VecDeque<Entry>,
+    current: Version,
     faults: PlatformFaults,
     counts: PlatformCounts,
-    vms: Vec<String>,
-    leases: BTreeMap<u64, Lease>,
+    leases: BTreeMap<LeaseId, (Duration, Instant)>,
     last_lease: u64,
 }
 
-/// A lease; entries written under it vanish when it ends.
-#[derive(Debug)]
-struct Lease {
-    ttl: Duration,
-    ends: Instant,
-    keys: Vec<String>,
-}
+impl Inner {
+    fn record(&mut self, entry: Entry) {
+        self.history.push_back(entry);
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            let (key, version) = (key.to_owned(), self.current);
+            let lease = LeaseId::default();
+            self.record(Entry { key, value: Vec::new(), version, lease, removed: true });
+        }
+    }
 
-impl Store {
     /// Takes away the entries of leases that have ended.
     fn expire(&mut self) {
         let now = Instant::now();
-        let ended: Vec<u64> =
-            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
-        for lease in ended.into_iter().filter_map(|id| self.leases.remove(&id)) {
-            for key in lease.keys {
-                self.entries.remove(&key);
-            }
+        self.leases.retain(|_, (_, ends)| *ends > now);
+        let gone: Vec<String> = self
+            .entries
+            .values()
+            .filter(|e| e.lease != LeaseId::default() && !self.leases.contains_key(&e.lease))
+            .map(|e| e.key.clone())
+            .collect();
+        for key in gone {
+            self.current.0 += 1;
+            self.remove(&key);
+        }
+    }
+
+    /// Returns the entries that conditions name, if one of them does not hold.
+    fn conflict(&self, transaction: &Transaction) -> Option<Vec<Entry>> {
+        let version =
+            |key: &String| self.entries.get(key).map_or(Version::default(), |e| e.version);
+        let conditions = &transaction.conditions;
+        let differs = conditions.iter().any(|c| version(&c.key) != c.version);
+        let there = conditions.iter().filter_map(|c| self.entries.get(&c.key).cloned());
+        differs.then(|| there.collect())
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> Version {
+        self.current.0 += 1;
+        let version = self.current;
+        for write in transaction.writes {
+            let (key, value, lease) = (write.key, write.value, write.lease);
+            let entry = Entry { key, value, version, lease, removed: false };
+            self.entries.insert(entry.key.clone(), entry.clone());
+            self.record(entry);
+        }
+        for key in transaction.removals {
+            self.remove(&key);
         }
+        version
     }
 
-    /// Returns the entry of `key` if its version is not `expect`.
-    fn conflict(&self, key: &str, expect: Version) -> Option<Response> {
-        let there = self.entries.get(key);
-        let differs = there.map_or(Version(0), |entry| entry.version) != expect;
-        differs.then(|| (StatusCode::CONFLICT, Json(there.cloned())).into_response())
+    fn changes(&self, prefix: &str, after: Version) -> Vec<Entry> {
+        let newer = |e: &&Entry| e.version > after && e.key.starts_with(prefix);
+        self.history.iter().filter(newer).cloned().collect()
     }
 }
 
-type Shared = Arc<Mutex<Store>>;
+type Shared = Arc<Mutex<Inner>>;
 
 #[derive(Debug, Deserialize)]
-struct Expect {
-    expect: Version,
-    #[serde(default)]
-    lease: Option<u64>,
+struct KeyQuery {
+    key: String,
 }
 
 #[derive(Debug, Deserialize)]
-struct Ttl {
-    ttl_ms: u64,
+struct RangeQuery {
+    #[serde(rename = "path-prefix")]
+    prefix: String,
+    #[serde(default)]
+    after: String,
 }
 
 #[derive(Debug, Deserialize)]
-struct Watch {
+struct WatchQuery {
+    #[serde(rename = "path-prefix")]
+    prefix: String,
     after: Version,
+    #[serde(rename = "wait-ms")]
     wait_ms: u64,
 }
 
-fn lock(store: &Shared) -> MutexGuard<'_, Store> {
-    let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
-    store.expire();
-    store
+fn lock(store: &Shared) -> MutexGuard<'_, Inner> {
+    let mut inner = store.lock().unwrap_or_else(PoisonError::into_inner);
+    inner.expire();
+    inner
 }
 
 /// Serves the platform on `addr` until the process ends.
@@ -118,11 +165,13 @@
 /// Fails when the address can't be bound.
 pub async fn run(addr: SocketAddr) -> Result<(), StandinError> {
     let router = Router::new()
-        .route("/v1/kv/{*key}", get(read).put(write).delete(delete))
-        .route("/v1/watch/{*key}", get(watch))
-        .route("/v1/leases", post(open_lease))
-        .route("/v1/leases/{id}", put(keep_lease).delete(end_lease))
-        .route("/v1/vms", get(vms).put(set_vms))
+        .route(KEY_PATH, get(read))
+        .route(RANGE_PATH, get(range))
+        .route(WATCH_PATH, get(watch))
+        .route(COMMIT_PATH, post(commit))
+        .route(GRANT_PATH, post(grant))
+        .route(&format!("{RENEW_PATH}/{{id}}"), post(renew))
+        .route(&format!("{END_PATH}/{{id}}"), delete(end))
         .route("/standin/faults", get(faults).put(set_faults))
         .route("/standin/counts", get(counts))
         .with_state(Shared::default());
@@ -138,136 +187,126 @@
     faults.down.then(|| StatusCode::SERVICE_UNAVAILABLE.into_response())
 }
 
-async fn read(State(store): State<Shared>, Path(key): Path<String>) -> Response {
-    if let Some(failed) = hit(&store).await {
-        return failed;
-    }
-    let mut store = lock(&store);
-    store.counts.reads += 1;
-    match store.entries.get(&key) {
-        Some(entry) => Json(entry.clone()).into_response(),
-        None => StatusCode::NOT_FOUND.into_response(),
+/// Answers a write, unless its answer is to be lost.
+fn written(inner: &mut Inner, answer: Response) -> Response {
+    if inner.faults.lose_write_answers > 0 {
+        inner.faults.lose_write_answers -= 1;
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
     }
+    answer
 }
 
-async fn write(
-    State(store): State<Shared>,
-    Path(key): Path<String>,
-    Query(Expect { expect, lease }): Query<Expect>,
-    value: String,
-) -> Response {
+async fn read(State(store): State<Shared>, Query(query): Query<KeyQuery>) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
-    let mut store = lock(&store);
-    store.counts.writes += 1;
-    if let Some(conflict) = store.conflict(&key, expect) {
-        return conflict;
-    }
-    if let Some(id) = lease {
-        match store.leases.get_mut(&id) {
-            Some(lease) => lease.keys.push(key.clone()),
-            None => return StatusCode::GONE.into_response(),
-        }
-    }
-    store.last_version += 1;
-    let version = Version(store.last_version);
-    store.entries.insert(key, Entry { version, value });
-    if store.faults.lose_write_answers > 0 {
-        store.faults.lose_write_answers -= 1;
-        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    let mut inner = lock(&store);
+    inner.counts.reads += 1;
+    match inner.entries.get(&query.key) {
+        Some(entry) => Json(entry.clone()).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
     }
-    Json(version).into_response()
 }
 
-async fn delete(
-    State(store): State<Shared>,
-    Path(key): Path<String>,
-    Query(Expect { expect, .. }): Query<Expect>,
-) -> Response {
+async fn range(State(store): State<Shared>, Query(query): Query<RangeQuery>) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
-    let mut store = lock(&store);
-    store.counts.writes += 1;
-    if let Some(conflict) = store.conflict(&key, expect) {
-        return conflict;
-    }
-    store.entries.remove(&key);
-    Json(Version(0)).into_response()
+    let mut inner = lock(&store);
+    inner.counts.reads += 1;
+    let wanted = |e: &&Entry| e.key.starts_with(&query.prefix) && e.key > query.after;
+    let mut entries: Vec<Entry> =
+        inner.entries.values().filter(wanted).take(PAGE + 1).cloned().collect();
+    let more = entries.len() > PAGE;
+    entries.truncate(PAGE);
+    Json(Page { entries, more, current: inner.current }).into_response()
 }
 
-async fn watch(
-    State(store): State<Shared>,
-    Path(key): Path<String>,
-    Query(Watch { after, wait_ms }): Query<Watch>,
-) -> Response {
+async fn watch(State(store): State<Shared>, Query(query): Query<WatchQuery>) -> Response {
     lock(&store).counts.reads += 1;
     lock(&store).counts.watches += 1;
-    let polls = wait_ms / u64::try_from(WATCH_POLL.as_millis()).unwrap_or(1);
-    let mut answer = StatusCode::NOT_MODIFIED.into_response();
+    let answer = wait_for_changes(&store, &query).await;
+    lock(&store).counts.watches -= 1;
+    answer
+}
+
+async fn wait_for_changes(store: &Shared, query: &WatchQuery) -> Response {
+    let polls = query.wait_ms / u64::try_from(WATCH_POLL.as_millis()).unwrap_or(1);
     for _ in 0..=polls {
-        if let Some(failed) = hit(&store).await {
-            answer = failed;
-            break;
+        if let Some(failed) = hit(store).await {
+            return failed;
         }
-        let found = lock(&store).entries.get(&key).filter(|e| e.version > after).cloned();
-        if let Some(entry) = found {
-            answer = Json(entry).into_response();
-            break;
+        {
+            let inner = lock(store);
+            if inner.faults.forget_history {
+                return StatusCode::GONE.into_response();
+            }
+            let entries = inner.changes(&query.prefix, query.after);
+            if !entries.is_empty() {
+                return Json(Changes { entries, current: inner.current }).into_response();
+            }
         }
         pause(WATCH_POLL).await;
     }
-    lock(&store).counts.watches -= 1;
-    answer
+    Json(Changes { entries: Vec::new(), current: lock(store).current }).into_response()
 }
 
-async fn open_lease(State(store): State<Shared>, Query(Ttl { ttl_ms }): Query<Ttl>) -> Response {
+async fn commit(State(store): State<Shared>, Json(transaction): Json<Transaction>) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
-    let mut store = lock(&store);
-    store.counts.writes += 1;
-    store.last_lease += 1;
-    let id = store.last_lease;
-    let ttl = Duration::from_millis(ttl_ms);
-    store.leases.insert(id, Lease { ttl, ends: Instant::now() + ttl, keys: Vec::new() });
-    Json(id).into_response()
+    let mut inner = lock(&store);
+    inner.counts.writes += 1;
+    let no_lease = LeaseId::default();
+    let mut leases = transaction.writes.iter().map(|w| w.lease).filter(|lease| *lease != no_lease);
+    if leases.any(|lease| !inner.leases.contains_key(&lease)) {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    if let Some(entries) = inner.conflict(&transaction) {
+        return (StatusCode::PRECONDITION_FAILED, Json(Conflict { entries })).into_response();
+    }
+    let version = inner.commit(transaction);
+    written(&mut inner, Json(Committed { version }).into_response())
+}
+
+async fn grant(State(store): State<Shared>, Json(wish): Json<GrantRequest>) -> Response {
+    if let Some(failed) = hit(&store).await {
+        return failed;
+    }
+    let mut inner = lock(&store);
+    inner.counts.writes += 1;
+    inner.last_lease += 1;
+    let id = LeaseId(inner.last_lease);
+    let ttl = Duration::from_millis(wish.ttl_ms);
+    inner.leases.insert(id, (ttl, Instant::now() + ttl));
+    written(&mut inner, Json(Lease { id, ttl_ms: wish.ttl_ms }).into_response())
 }
 
-async fn keep_lease(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
+async fn renew(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
-    let mut store = lock(&store);
-    store.counts.writes += 1;
-    match store.leases.get_mut(&id) {
-        Some(lease) => {
-            lease.ends = Instant::now() + lease.ttl;
+    let mut inner = lock(&store);
+    inner.counts.renewals += 1;
+    match inner.leases.get_mut(&LeaseId(id)) {
+        Some((ttl, ends)) => {
+            *ends = Instant::now() + *ttl;
             StatusCode::OK.into_response()
         }
-        None => StatusCode::GONE.into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
-async fn end_lease(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
+async fn end(State(store): State<Shared>, Path(id): Path<u64>) -> Response {
     if let Some(failed) = hit(&store).await {
         return failed;
     }
-    let mut store = lock(&store);
-    store.counts.writes += 1;
-    if let Some(lease) = store.leases.get_mut(&id) {
-        lease.ends = Instant::now();
+    let mut inner = lock(&store);
+    inner.counts.writes += 1;
+    match inner.leases.remove(&LeaseId(id)) {
+        Some(_) => StatusCode::OK.into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
     }
-    StatusCode::OK.into_response()
-}
-
-async fn vms(State(store): State<Shared>) -> Json<Vec<String>> {
-    Json(lock(&store).vms.clone())
-}
-
-async fn set_vms(State(store): State<Shared>, Json(vms): Json<Vec<String>>) {
-    lock(&store).vms = vms;
 }
 
 async fn faults(State(store): State<Shared>) -> Json<PlatformFaults> {
--- a/crates/dillmill-standins/src/scenario/steps.rs
+++ b/crates/dillmill-standins/src/scenario/steps.rs
@@ -118,7 +118,12 @@
                 .await?;
         }
         Step::Platform { down, slow, lose } => {
-            let faults = PlatformFaults { down: *down, slow_ms: *slow, lose_write_answers: *lose };
+            let faults = PlatformFaults {
+                down: *down,
+                slow_ms: *slow,
+                lose_write_answers: *lose,
+                ..PlatformFaults::default()
+            };
             cluster.platform_faults(&faults).await?;
         }
         Step::Target { name, slots, draining, broken } => {
--- a/crates/dillmill-platform/src/ring_store.rs
+++ b/crates/dillmill-store/src/ring_store.rs
@@ -4,20 +4,22 @@
 use dillmill_core::claims::Ring;
 use error_stack::{Report, ResultExt};
 
-use crate::{CasOutcome, Platform, PlatformError, Version};
+use dillmill_platform::{PlatformError, Store, Version};
+
+use crate::{CasOutcome, Entries};
 
 /// Reads and changes the ring of one service.
 #[derive(Debug, Clone)]
 pub struct RingStore {
-    platform: Platform,
+    entries: Entries,
     key: String,
 }
 
 impl RingStore {
     /// Creates a store for the ring of `service`.
     #[must_use]
-    pub fn new(platform: Platform, service: &ServiceName) -> Self {
-        Self { platform, key: format!("rings/{service}") }
+    pub fn new(store: Store, service: &ServiceName) -> Self {
+        Self { entries: Entries::new(store), key: format!("rings/{service}") }
     }
 
     /// Reads the ring; one that was never written is empty, with epoch 0.
@@ -26,7 +28,7 @@
     ///
     /// Fails when the platform does, or the entry is no ring.
     pub async fn get(&self) -> Result<(Ring, Version), Report<PlatformError>> {
-        match self.platform.get(&self.key).await? {
+        match self.entries.get(&self.key).await? {
             None => Ok((Ring::default(), Version(0))),
             Some(entry) => Ok((self.decode(&entry.value)?, entry.version)),
         }
@@ -48,18 +50,18 @@
         let Some(next) = change(&ring) else { return Ok((ring, false)) };
         let value = serde_json::to_string(&next)
             .change_context_lazy(|| self.error("encode ring", "no JSON"))?;
-        match self.platform.put(&self.key, &value, version).await? {
+        match self.entries.put(&self.key, &value, version).await? {
             CasOutcome::Written(_) => Ok((next, true)),
             CasOutcome::Conflict(Some(entry)) => Ok((self.decode(&entry.value)?, false)),
             CasOutcome::Conflict(None) => Ok((Ring::default(), false)),
         }
     }
 
-    fn decode(&self, value: &str) -> Result<Ring, Report<PlatformError>> {
-        serde_json::from_str(value).change_context_lazy(|| self.error("decode ring", "no ring"))
+    fn decode(&self, value: &[u8]) -> Result<Ring, Report<PlatformError>> {
+        serde_json::from_slice(value).change_context_lazy(|| self.error("decode ring", "no ring"))
     }
 
     fn error(&self, step: &'static str, what: &str) -> PlatformError {
-        PlatformError { step, peer: self.platform.base().to_owned(), what: what.to_owned() }
+        PlatformError { step, peer: self.entries.store().base().to_owned(), what: what.to_owned() }
     }
 }
--- a/crates/dillmill-platform/src/settings_store.rs
+++ b/crates/dillmill-store/src/settings_store.rs
@@ -11,7 +11,9 @@
 use dillmill_settings::{Change, NodePath, Problem, Tree, WriteId, tree::unified_diff};
 use error_stack::{Report, ResultExt};
 
-use crate::{CasOutcome, Platform, PlatformError, Version};
+use dillmill_platform::{PlatformError, Store, Version};
+
+use crate::{CasOutcome, Entries};
 
 const SNAPSHOT_KEY: &str = "settings/snapshot";
 /// Changes between two snapshots.
@@ -26,7 +28,7 @@
 /// Reads and writes the tree in the platform.
 #[derive(Debug, Clone)]
 pub struct SettingsStore {
-    platform: Platform,
+    entries: Entries,
 }
 
 /// Why an edit was not accepted; nothing was written.
@@ -78,10 +80,10 @@
 }
 
 impl SettingsStore {
-    /// Creates a store over `platform`.
+    /// Creates a view of the settings in `store`.
     #[must_use]
-    pub fn new(platform: Platform) -> Self {
-        Self { platform }
+    pub fn new(store: Store) -> Self {
+        Self { entries: Entries::new(store) }
     }
 
     /// Reads change `revision`, if it exists.
@@ -93,7 +95,7 @@
         &self,
         revision: Revision,
     ) -> Result<Option<Change>, Report<PlatformError>> {
-        let entry = self.platform.get(&log_key(revision)).await?;
+        let entry = self.entries.get(&log_key(revision)).await?;
         entry.map(|entry| self.decode(&entry.value)).transpose()
     }
 
@@ -107,16 +109,16 @@
         revision: Revision,
         wait: Duration,
     ) -> Result<Option<Change>, Report<PlatformError>> {
-        let entry = self.platform.watch(&log_key(revision), Version(0), wait).await?;
+        let entry = self.entries.wait_for(&log_key(revision), wait).await?;
         entry.map(|entry| self.decode(&entry.value)).transpose()
     }
 
     fn decode<T: serde::de::DeserializeOwned>(
         &self,
-        value: &str,
+        value: &[u8],
     ) -> Result<T, Report<PlatformError>> {
-        serde_json::from_str(value).map_err(|e| {
-            let peer = self.platform.base().to_owned();
+        serde_json::from_slice(value).map_err(|e| {
+            let peer = self.entries.store().base().to_owned();
             Report::new(PlatformError { step: "decode settings", peer, what: e.to_string() })
         })
     }
@@ -128,7 +130,7 @@
     /// As [`SettingsStore::change`]; `tree` holds what was read until then.
     pub async fn catch_up(&self, tree: &mut Tree) -> Result<(), Report<PlatformError>> {
         if tree.revision == Revision(0)
-            && let Some(entry) = self.platform.get(SNAPSHOT_KEY).await?
+            && let Some(entry) = self.entries.get(SNAPSHOT_KEY).await?
         {
             *tree = self.decode(&entry.value)?;
         }
@@ -198,7 +200,7 @@
         };
         let value = serde_json::to_string(&change).change_context(WriteError::Platform)?;
         let outcome = self
-            .platform
+            .entries
             .put(&log_key(change.revision), &value, Version(0))
             .await
             .change_context(WriteError::Platform)?;
@@ -259,13 +261,13 @@
         if !tree.revision.0.is_multiple_of(SNAPSHOT_EVERY) {
             return;
         }
-        let Ok(there) = self.platform.get(SNAPSHOT_KEY).await else { return };
+        let Ok(there) = self.entries.get(SNAPSHOT_KEY).await else { return };
         let version = there.as_ref().map_or(Version(0), |entry| entry.version);
         let newer = there
-            .and_then(|entry| serde_json::from_str::<Tree>(&entry.value).ok())
+            .and_then(|entry| serde_json::from_slice::<Tree>(&entry.value).ok())
             .is_some_and(|old| old.revision >= tree.revision);
         if let (false, Ok(value)) = (newer, serde_json::to_string(tree)) {
-            let _ = self.platform.put(SNAPSHOT_KEY, &value, version).await;
+            let _ = self.entries.put(SNAPSHOT_KEY, &value, version).await;
         }
     }
 }
--- a/crates/dillmill-wire/src/lib.rs
+++ b/crates/dillmill-wire/src/lib.rs
@@ -4,12 +4,14 @@
 //! a stranger who can send to a control address can't change the view of a process. Packets of
 //! flows travel between balancers and agents behind a short [`Frame`]; QUIC protects their content.
 
+pub mod flow_message;
 pub mod frame;
 pub mod message;
 pub mod packet;
 pub mod seal;
 pub mod stream;
 
+pub use flow_message::{FlowMessage, open_envelope, seal_envelope};
 pub use frame::{Frame, FrameError};
 pub use message::{Ask, KeptAnswer, Message, Reply};
 pub use packet::{Destination, packet_destination};
--- a/crates/dillmill-wire/src/message.rs
+++ b/crates/dillmill-wire/src/message.rs
@@ -9,13 +9,17 @@
 use dillmill_settings::Change;
 use serde::{Deserialize, Serialize};
 
+use crate::FlowMessage;
+
 /// A control message in one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Membership.
     Probe(Probe),
-    /// An agent's load, to its siblings.
+    /// An agent's load, to its siblings or to balancers that send it new flows.
     Load(LoadReport),
+    /// A message about packet flows.
+    Flow(FlowMessage),
     /// Asks for the changes after a revision.
     Pull {
         /// Last revision that the sender has.
--- a/crates/dillmill-wire/src/stream.rs
+++ b/crates/dillmill-wire/src/stream.rs
@@ -2,7 +2,7 @@
 
 use dillmill_core::membership::MemberChange;
 use dillmill_core::{Event, GroupName, Member, ProcessId, Revision, ServiceName};
-use dillmill_settings::{Change, Tree};
+use dillmill_settings::{Change, RouteTree, Tree};
 use serde::{Deserialize, Serialize};
 
 /// Longest message on a stream, in bytes: a tree of the target size with room to grow.
@@ -68,6 +68,8 @@
         changes: Vec<Change>,
         /// A whole tree, where the changes are not at hand.
         tree: Option<Tree>,
+        /// A newer tree of routes.
+        routes: Option<RouteTree>,
     },
     /// Asks for [`StreamMessage::Status`].
     GetStatus,
--- a/crates/dillmill/src/command.rs
+++ b/crates/dillmill/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use getopts::Options;
+use getopts::{Matches, Options};
 
 /// A role that a process can have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,6 +13,18 @@
     Agent,
 }
 
+/// Where the settings of a process come from, and with them what it serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// A settings file of dillmill's own: HTTP/3 services.
+    File(PathBuf),
+    /// The users' platform: packet flows.
+    Platform {
+        /// Port of the administration page on the VM's address; none: on loopback, any free one.
+        metrics_port: Option<u16>,
+    },
+}
+
 /// What the command line asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
@@ -20,8 +32,8 @@
     Run {
         /// The role.
         role: RoleCommand,
-        /// The settings file.
-        config: PathBuf,
+        /// Where its settings come from.
+        source: Source,
         /// Only check the settings file.
         check: bool,
     },
@@ -37,9 +49,13 @@
 const SUMMARY: &str = "\
 Usage: dillmill balancer --config FILE [--check]
        dillmill agent --config FILE [--check]
+       dillmill balancer --platform [--metrics-port PORT] [--check]
+       dillmill agent --platform [--metrics-port PORT] [--check]
 
 `balancer` routes packets of callers to agents; `agent` runs the requests of one
-service on the target beside it. SIGTERM or SIGINT stops a process as planned; a
+service on the target beside it. With --config it serves HTTP/3 under a settings
+file of its own; with --platform it carries packet flows under the settings that
+the users' platform gives it. SIGTERM or SIGINT stops a process as planned; a
 second one ends it at once.
 
 Exit codes: 0 done, 1 failed, 2 wrong command line or settings file.";
@@ -47,6 +63,8 @@
 fn options() -> Options {
     let mut opts = Options::new();
     opts.optopt("c", "config", "the settings file of this process", "FILE");
+    opts.optflag("", "platform", "take the settings from the users' platform");
+    opts.optopt("", "metrics-port", "port of the administration page", "PORT");
     opts.optflag("", "check", "only check the settings file");
     opts.optflag("h", "help", "show this help");
     opts.optflag("V", "version", "show the version");
@@ -73,8 +91,24 @@
         [role] if role == "agent" => RoleCommand::Agent,
         [other, ..] => return Err(UsageError(format!("`{other}` is no role"))),
     };
-    let config = matches
-        .opt_str("config")
-        .ok_or_else(|| UsageError("--config FILE is missing".to_owned()))?;
-    Ok(Command::Run { role, config: config.into(), check: matches.opt_present("check") })
+    Ok(Command::Run { role, source: source(&matches)?, check: matches.opt_present("check") })
+}
+
+fn source(matches: &Matches) -> Result<Source, UsageError> {
+    let metrics_port = matches.opt_str("metrics-port");
+    match (matches.opt_str("config"), matches.opt_present("platform")) {
+        (Some(_), true) => Err(UsageError("--config and --platform exclude each other".to_owned())),
+        (None, false) => {
+            Err(UsageError("--config FILE is missing (or --platform)".to_owned()))
+        }
+        (Some(_), false) if metrics_port.is_some() => Err(UsageError(
+            "--metrics-port goes with --platform; a settings file has `admin`".to_owned(),
+        )),
+        (Some(path), false) => Ok(Source::File(path.into())),
+        (None, true) => {
+            let wrong = |text: &str| UsageError(format!("--metrics-port {text} is no port"));
+            let port = metrics_port.map(|text| text.parse().map_err(|_| wrong(&text)));
+            Ok(Source::Platform { metrics_port: port.transpose()? })
+        }
+    }
 }
--- a/crates/dillmill/src/main.rs
+++ b/crates/dillmill/src/main.rs
@@ -1,11 +1,14 @@
 //! The `dillmill` program.
 
+use std::path::Path;
 use std::process::ExitCode;
 
-use dillmill::command::{self, Command, RoleCommand};
+use dillmill::command::{self, Command, RoleCommand, Source};
 use dillmill::{Agent, Balancer, NodeError, ProcessConfig};
+use dillmill_flow::{FlowAgent, FlowBalancer};
 use dillmill_node::config::AgentConfig;
-use dillmill_node::stop;
+use dillmill_node::{logging, stop};
+use dillmill_platform::ProcessSettings;
 use error_stack::Report;
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
@@ -16,37 +19,90 @@
 #[compio::main]
 async fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let (role, path, check) = match command::parse(&args) {
-        Ok(Command::Run { role, config, check }) => (role, config, check),
+    let (role, source, check) = match command::parse(&args) {
+        Ok(Command::Run { role, source, check }) => (role, source, check),
         Ok(Command::Show(text)) => {
             print!("{text}");
             return ExitCode::SUCCESS;
         }
         Err(e) => return fail(WRONG_INPUT, &e),
     };
-    let config = match ProcessConfig::open(&path).and_then(|c| for_role(c, role, &path)) {
+    let code = match source {
+        Source::File(path) => Box::pin(serve_http3(role, &path, check)).await,
+        Source::Platform { metrics_port } => {
+            Box::pin(serve_flows(role, metrics_port, check)).await
+        }
+    };
+    logging::flush();
+    code
+}
+
+fn fail(code: u8, e: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("dillmill: {e}");
+    ExitCode::from(code)
+}
+
+fn finish(outcome: Result<(), Report<NodeError>>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => fail(FAILED, report.current_context()),
+    }
+}
+
+fn checked(path: &Path) -> ExitCode {
+    println!("{}: good", path.display());
+    ExitCode::SUCCESS
+}
+
+async fn serve_http3(role: RoleCommand, path: &Path, check: bool) -> ExitCode {
+    let config = match ProcessConfig::open(path).and_then(|c| for_role(c, role, path)) {
         Ok(config) => config,
         Err(report) => return fail(WRONG_INPUT, report.current_context()),
     };
     if check {
-        println!("{}: good", path.display());
-        return ExitCode::SUCCESS;
+        return checked(path);
     }
-    match Box::pin(run(role, &config)).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => fail(FAILED, report.current_context()),
+    finish(run_http3(role, &config).await)
+}
+
+async fn serve_flows(role: RoleCommand, metrics_port: Option<u16>, check: bool) -> ExitCode {
+    let opened = ProcessSettings::path().and_then(|path| {
+        let settings = ProcessSettings::open(&path)?;
+        Ok((path, settings))
+    });
+    let (path, settings) = match opened {
+        Ok(opened) => opened,
+        Err(e) => return fail(WRONG_INPUT, &e),
+    };
+    if check {
+        return checked(&path);
     }
+    finish(run_flows(role, &settings, metrics_port).await)
 }
 
-fn fail(code: u8, e: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("dillmill: {e}");
-    ExitCode::from(code)
+async fn run_flows(
+    role: RoleCommand,
+    settings: &ProcessSettings,
+    metrics_port: Option<u16>,
+) -> Result<(), Report<NodeError>> {
+    match role {
+        RoleCommand::Balancer => {
+            let balancer = FlowBalancer::spawn(settings, metrics_port).await?;
+            stop::requested().await;
+            stop_or_second(balancer.stop()).await
+        }
+        RoleCommand::Agent => {
+            let agent = FlowAgent::spawn(settings, metrics_port).await?;
+            stop::requested().await;
+            stop_or_second(agent.stop()).await
+        }
+    }
 }
 
 fn for_role(
     config: ProcessConfig,
     role: RoleCommand,
-    path: &std::path::Path,
+    path: &Path,
 ) -> Result<ProcessConfig, Report<NodeError>> {
     if role == RoleCommand::Agent && config.agent.is_none() {
         let what = "an agent needs the section `agent`";
@@ -55,7 +111,7 @@
     Ok(config)
 }
 
-async fn run(role: RoleCommand, config: &ProcessConfig) -> Result<(), Report<NodeError>> {
+async fn run_http3(role: RoleCommand, config: &ProcessConfig) -> Result<(), Report<NodeError>> {
     match (role, &config.agent) {
         (RoleCommand::Agent, Some(agent)) => run_agent(config, agent).await,
         (RoleCommand::Agent, None) | (RoleCommand::Balancer, _) => {
--- a/crates/dillmillctl/src/config.rs
+++ b/crates/dillmillctl/src/config.rs
@@ -5,7 +5,8 @@
 
 use dillmill_core::Secret;
 use dillmill_node::NodeError;
-use dillmill_platform::{Platform, SettingsStore};
+use dillmill_platform::Store;
+use dillmill_store::SettingsStore;
 use dillmill_settings::yaml;
 use dillmill_wire::ClusterKey;
 use serde::Deserialize;
@@ -49,6 +50,6 @@
     }
 
     pub(crate) fn store(&self) -> Result<SettingsStore, CtlError> {
-        Ok(SettingsStore::new(Platform::new(&self.platform)?))
+        Ok(SettingsStore::new(Store::new(&self.platform)?))
     }
 }
--- a/crates/dillmillctl/src/error.rs
+++ b/crates/dillmillctl/src/error.rs
@@ -1,7 +1,8 @@
 //! Errors of the operator's program and their exit codes.
 
 use dillmill_node::NodeError;
-use dillmill_platform::{PlatformError, WriteError};
+use dillmill_platform::PlatformError;
+use dillmill_store::WriteError;
 use error_stack::Report;
 
 /// Why a command failed.
--- a/crates/dillmillctl/src/verbs/settings.rs
+++ b/crates/dillmillctl/src/verbs/settings.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use dillmill_core::{GroupName, Revision, ServiceName, Timestamp};
-use dillmill_platform::settings_store::Edit;
+use dillmill_store::settings_store::Edit;
 use dillmill_settings::{NodePath, Tree, WriteId};
 use rand::Rng;
 use serde_json::json;
