--- a/crates/dillmill-agent/src/agent.rs
+++ b/crates/dillmill-agent/src/agent.rs
@@ -10,8 +10,8 @@
     Inlets, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, SettingsSource, View, Views,
     config::AgentConfig,
 };
-use dillmill_store::RingStore;
 use dillmill_settings::{CompiledTree, Service, Tls};
+use dillmill_store::RingStore;
 use error_stack::Report;
 
 use crate::chain::{Closed, closed};
@@ -59,7 +59,11 @@
     ) -> Result<Self, Report<NodeError>> {
         let service_name = agent.service.clone();
         let role = Role::Agent(service_name.clone());
-        let node = Node::spawn(config, NodeSpec { role, status: MemberStatus::Leaving, settings: SettingsSource::Tree }).await?;
+        let node = Node::spawn(
+            config,
+            NodeSpec { role, status: MemberStatus::Leaving, settings: SettingsSource::Tree },
+        )
+        .await?;
         let metrics = AgentMetrics::new(&node.handle.metrics)?;
         let socket =
             UdpSocket::bind(config.data).await.map_err(NodeError::io("bind data", config.data))?;
--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -70,9 +70,9 @@
 
     /// Returns the agents of `service` that take new flows.
     pub fn serving(&self, service: ServiceTag) -> impl Iterator<Item = &AgentEntry> {
-        self.agents.iter().filter(move |a| {
-            a.service == service && a.status == MemberStatus::Serving
-        })
+        self.agents
+            .iter()
+            .filter(move |a| a.service == service && a.status == MemberStatus::Serving)
     }
 
     /// Returns the agents that remember the owner of `flow`: of all services, so that a route that
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -268,8 +268,7 @@
         let full = self.load(now).requests >= u32::from(self.slots);
         if full
             && passed.len() < PLACE_HOPS
-            && let Some(verdict) =
-                self.pass_on(seg, service, env, passed, PassReason::Full, known)
+            && let Some(verdict) = self.pass_on(seg, service, env, passed, PassReason::Full, known)
         {
             return verdict;
         }
@@ -430,8 +429,10 @@
 
 /// Returns the services that may hold a flow.
 fn services(seg: &Segment, env: &Envelope, known: Known<'_>) -> Vec<ServiceTag> {
-    let mut services =
-        known.routes.get(seg.flow.route()).map_or_else(Vec::new, crate::route_table::RouteEntry::services);
+    let mut services = known
+        .routes
+        .get(seg.flow.route())
+        .map_or_else(Vec::new, crate::route_table::RouteEntry::services);
     if !services.contains(&env.service) {
         services.push(env.service);
     }
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -104,9 +104,8 @@
         not: Option<ProcessId>,
         now: Timestamp,
     ) -> Option<&'a AgentEntry> {
-        let cost = |a: &&AgentEntry| {
-            (self.silent(a.process, now), self.cost(a), flow.score(a.process.0))
-        };
+        let cost =
+            |a: &&AgentEntry| (self.silent(a.process, now), self.cost(a), flow.score(a.process.0));
         let open = || agents.serving(service).filter(|a| a.slots > 0);
         let best = open()
             .filter(|a| Some(a.process) != not)
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -265,11 +265,8 @@
     }
 
     fn retire(&mut self, ended: impl Fn(&Member) -> bool, now: Timestamp) {
-        let ended: Vec<Member> = self
-            .others()
-            .filter(|m| m.status != MemberStatus::Down && ended(m))
-            .cloned()
-            .collect();
+        let ended: Vec<Member> =
+            self.others().filter(|m| m.status != MemberStatus::Down && ended(m)).cloned().collect();
         for mut member in ended {
             let before = Some(member.status);
             member.status = MemberStatus::Down;
--- a/crates/dillmill-core/src/owner_cache.rs
+++ b/crates/dillmill-core/src/owner_cache.rs
@@ -27,7 +27,9 @@
 enum Known {
     Owner(Owner),
     /// A search found no owner.
-    Missing { since: Timestamp },
+    Missing {
+        since: Timestamp,
+    },
 }
 
 /// The flows that a balancer has seen lately, with their owners.
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -85,9 +85,8 @@
     pub fn from_caller(&mut self, seg: &Segment, now: Timestamp) -> Fit {
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return Fit::Unknown };
         if flow.stage == Stage::Opening {
-            let near = flow
-                .target_seq
-                .is_some_and(|seq| seg.ack.wrapping_sub(seq) <= FIRST_ACK_WINDOW);
+            let near =
+                flow.target_seq.is_some_and(|seq| seg.ack.wrapping_sub(seq) <= FIRST_ACK_WINDOW);
             if !near {
                 return Fit::Other;
             }
--- /dev/null
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -0,0 +1,323 @@
+//! What an agent does with a packet: deliver, pass on, search, refuse.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use dillmill_core::flow_gate::{Known, PassReason, RefuseReason, TargetStanding, Verdict};
+use dillmill_core::{
+    AgentTable, Envelope, Errand, FlowGate, FlowTuple, Member, MemberStatus, ProcessId, Revision,
+    Role, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, Weight,
+};
+use rstest::rstest;
+
+const ROUTE: &str = "198.18.0.1:443";
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+const TARGET_SEQ: u32 = 5000;
+
+fn data(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, n].into(), 7001)
+}
+
+fn control(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, n].into(), 7000)
+}
+
+fn member(n: u8, service: &str, status: MemberStatus) -> Member {
+    Member {
+        process: ProcessId(u64::from(n)),
+        vm: format!("vm-{n}").parse().unwrap(),
+        zone: "zone-1".parse().unwrap(),
+        role: Role::Agent(service.parse().unwrap()),
+        data: data(n),
+        control: control(n),
+        started: Timestamp::default(),
+        weight: Weight(5),
+        version: 1,
+        status,
+        reaches_store: true,
+    }
+}
+
+fn tag(service: &str) -> ServiceTag {
+    ServiceTag::from(&service.parse().unwrap())
+}
+
+fn agents(members: &[Member]) -> AgentTable {
+    AgentTable::new(members.iter(), &"zone-1".parse().unwrap())
+}
+
+fn three() -> AgentTable {
+    agents(&[1, 2, 3].map(|n| member(n, "orders", MemberStatus::Serving)))
+}
+
+fn routes(revision: u64, service: &str) -> RouteTable {
+    let entry = RouteEntry { shares: vec![(tag(service), Weight(1))], former: Vec::new() };
+    RouteTable::new(Revision(revision), [(ROUTE.parse().unwrap(), entry)])
+}
+
+fn flow(port: u16) -> FlowTuple {
+    FlowTuple::new(SocketAddrV4::new([100, 64, 0, 7].into(), port), ROUTE.parse().unwrap())
+}
+
+fn segment(port: u16, kind: SegmentKind) -> Segment {
+    let ack = if matches!(kind, SegmentKind::Open { .. }) { 0 } else { TARGET_SEQ + 1 };
+    Segment { flow: flow(port), kind, seq: 1, ack, len: 0, returned: false, mark: 0 }
+}
+
+fn open(port: u16) -> Segment {
+    segment(port, SegmentKind::Open { copies: 0 })
+}
+
+fn request(port: u16) -> Segment {
+    Segment { len: 100, ..segment(port, SegmentKind::Data) }
+}
+
+fn accept(port: u16) -> Segment {
+    Segment { seq: TARGET_SEQ, ..segment(port, SegmentKind::Accept) }
+}
+
+fn envelope(errand: Errand) -> Envelope {
+    Envelope { service: tag("orders"), revision: Revision(1), origin: control(9), errand }
+}
+
+fn place() -> Envelope {
+    envelope(Errand::Place { passed: Vec::new() })
+}
+
+/// The gate of agent 1 of `orders`, whose target has started after it.
+fn gate() -> FlowGate {
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    gate.new_target(tag("orders"));
+    gate.set_standing(TargetStanding::Ready, 5);
+    gate
+}
+
+/// The same, whose target is older than it.
+fn restarted_gate() -> FlowGate {
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    gate.set_standing(TargetStanding::Ready, 5);
+    gate
+}
+
+fn arrived(gate: &mut FlowGate, seg: &Segment, env: &Envelope, known: Known<'_>) -> Verdict {
+    gate.arrived(seg, env, known, NOW)
+}
+
+fn open_flow(gate: &mut FlowGate, port: u16, known: Known<'_>) {
+    assert!(matches!(arrived(gate, &open(port), &place(), known), Verdict::Deliver { .. }));
+    assert!(gate.from_target(&accept(port), NOW).record.is_some());
+}
+
+#[test]
+fn new_flow_delivered_and_found() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: false });
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0 }), known);
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: true });
+}
+
+#[rstest]
+#[case::leaving(TargetStanding::Leaving)]
+#[case::gone(TargetStanding::Gone)]
+fn leaving_target_gets_nothing_new(#[case] standing: TargetStanding) {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    gate.set_standing(standing, 5);
+    let Verdict::Pass { to, envelope: env, reason } = arrived(&mut gate, &open(2), &place(), known)
+    else {
+        panic!("not passed on")
+    };
+    assert_eq!((to == data(2) || to == data(3), reason), (true, PassReason::Leaving));
+    assert_eq!(env.errand, Errand::Place { passed: vec![ProcessId(1)] });
+    // Its open flows stay with it.
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: false });
+}
+
+#[test]
+fn last_leaving_target_refuses() {
+    let agents = agents(&[member(1, "orders", MemberStatus::Leaving)]);
+    let routes = routes(1, "orders");
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    gate.set_standing(TargetStanding::Leaving, 5);
+    let verdict = arrived(&mut gate, &open(1), &place(), known);
+    assert_eq!(verdict, Verdict::Refuse(RefuseReason::NoTarget));
+}
+
+#[test]
+fn full_target_passes_on_but_not_for_ever() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    for port in 1..=5 {
+        open_flow(&mut gate, port, known);
+    }
+    let verdict = arrived(&mut gate, &open(6), &place(), known);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Full, .. }), "{verdict:?}");
+    let passed = envelope(Errand::Place { passed: vec![ProcessId(2), ProcessId(3)] });
+    let verdict = arrived(&mut gate, &open(6), &passed, known);
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
+
+/// A stale balancer must not bring a flow to a service that newer settings took the route from.
+#[test]
+fn newer_settings_move_the_flow() {
+    let members =
+        [member(1, "orders", MemberStatus::Serving), member(2, "labels", MemberStatus::Serving)];
+    let (agents, routes) = (agents(&members), routes(2, "labels"));
+    let known = Known { agents: &agents, routes: &routes };
+    let verdict = arrived(&mut gate(), &open(1), &place(), known);
+    let Verdict::Pass { to, envelope, reason } = verdict else { panic!("{verdict:?}") };
+    assert_eq!((to, reason), (data(2), PassReason::OtherService));
+    assert_eq!(envelope.service, tag("labels"));
+}
+
+#[test]
+fn newer_settings_without_the_route_refuse() {
+    let (agents, routes) = (three(), RouteTable::new(Revision(2), []));
+    let known = Known { agents: &agents, routes: &routes };
+    let verdict = arrived(&mut gate(), &open(1), &place(), known);
+    assert_eq!(verdict, Verdict::Refuse(RefuseReason::NoRoute));
+}
+
+#[test]
+fn other_service_never_delivered() {
+    let (agents, routes) = (three(), routes(1, "labels"));
+    let known = Known { agents: &agents, routes: &routes };
+    let env = Envelope { service: tag("labels"), ..place() };
+    assert_eq!(arrived(&mut gate(), &open(1), &env, known), Verdict::Drop);
+    let env = Envelope { service: tag("labels"), ..envelope(Errand::Search { step: 0 }) };
+    let verdict = arrived(&mut restarted_gate(), &request(1), &env, known);
+    assert!(!matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
+
+/// Whatever agent a search begins at, it ends at the owner, whose record the directories hold.
+#[rstest]
+fn search_finds_owner(#[values(1, 2, 3, 4, 5, 6, 7, 8)] port: u16) {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gates: Vec<FlowGate> = (1..=3)
+        .map(|n| {
+            let mut gate = FlowGate::new(ProcessId(u64::from(n)), data(n), tag("orders"), NOW);
+            gate.new_target(tag("orders"));
+            gate.set_standing(TargetStanding::Ready, 5);
+            gate
+        })
+        .collect();
+    let owner = usize::from(port % 3);
+    assert!(matches!(
+        gates[owner].arrived(&open(port), &place(), known, NOW),
+        Verdict::Deliver { .. }
+    ));
+    let record = gates[owner].from_target(&accept(port), NOW).record.unwrap();
+    for directory in agents.directory(&flow(port)) {
+        gates[usize::try_from(directory.process.0).unwrap() - 1].register(record, NOW);
+    }
+    let mut at = agents.search_order(&flow(port), &[tag("orders")])[0].data;
+    let mut env = envelope(Errand::Search { step: 0 });
+    for _ in 0..4 {
+        let n = usize::from(at.ip().octets()[3]) - 1;
+        match gates[n].arrived(&request(port), &env, known, NOW) {
+            Verdict::Deliver { mark, .. } => return assert_eq!((n, mark), (owner, 0)),
+            Verdict::Pass { to, envelope, .. } => (at, env) = (to, envelope),
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("not found");
+}
+
+#[test]
+fn flow_of_nobody_is_missing() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let last = envelope(Errand::Search { step: 2 });
+    let verdict = arrived(&mut gate(), &request(1), &last, known);
+    assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+}
+
+/// A search that could not ask everybody proves nothing.
+#[test]
+fn suspect_agent_leaves_it_open() {
+    let mut members = [1, 2, 3].map(|n| member(n, "orders", MemberStatus::Serving));
+    members[2].status = MemberStatus::Suspect;
+    let (agents, routes) = (agents(&members), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let last = envelope(Errand::Search { step: 1 });
+    assert_eq!(arrived(&mut gate(), &request(1), &last, known), Verdict::Drop);
+}
+
+/// An agent that has restarted asks its target, and goes on when the packet comes back.
+#[test]
+fn restarted_agent_asks_its_target() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = restarted_gate();
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0 }), known);
+    let Verdict::Deliver { mark, tell: false } = verdict else { panic!("{verdict:?}") };
+    assert_ne!(mark, 0);
+    let back = Segment { returned: true, mark, ..request(1) };
+    let (verdict, origin) = gate.returned(&back, known, NOW);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
+    assert_eq!(origin, control(9));
+    // After a minute all flows of the target have been seen.
+    let later = NOW + Duration::from_secs(61);
+    let verdict = gate.arrived(&request(2), &envelope(Errand::Deliver), known, later);
+    assert!(matches!(verdict, Verdict::Pass { .. }), "{verdict:?}");
+}
+
+#[test]
+fn returned_opening_goes_to_a_sibling() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    let Verdict::Deliver { mark, .. } = arrived(&mut gate, &open(1), &place(), known) else {
+        panic!("not delivered")
+    };
+    let back = Segment { returned: true, mark, ..open(1) };
+    let (verdict, _) = gate.returned(&back, known, NOW);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Returned, .. }), "{verdict:?}");
+}
+
+/// Two targets may answer copies of one opening packet; the caller acknowledges one of them.
+#[test]
+fn caller_of_another_target_is_not_ours() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    let other = Segment { ack: TARGET_SEQ.wrapping_sub(70_000), ..request(1) };
+    let verdict = arrived(&mut gate, &other, &envelope(Errand::Deliver), known);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
+}
+
+#[test]
+fn new_target_holds_no_flow() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    gate.new_target(tag("orders"));
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    assert!(!matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
+
+#[test]
+fn requests_counted_until_answered() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    let later = NOW + Duration::from_millis(50);
+    assert_eq!((gate.load(later).requests, gate.load(later).flows), (1, 1));
+    let answer = Segment { len: 10, ..segment(1, SegmentKind::Data) };
+    assert_eq!(gate.from_target(&answer, later).answered, Some(Duration::from_millis(50)));
+    assert_eq!((gate.load(later).requests, gate.load(later).flows), (0, 1));
+}
--- /dev/null
+++ b/crates/dillmill-core/tests/flow_placements.rs
@@ -0,0 +1,141 @@
+//! Which agent a balancer gives a new flow to, and what it remembers of flows.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use dillmill_core::placement::LoadReport;
+use dillmill_core::{
+    AgentTable, FlowPlacement, FlowTuple, Member, MemberStatus, Owner, OwnerCache, ProcessId, Role,
+    ServiceTag, Timestamp, Weight,
+};
+
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn addr(n: u8, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, n].into(), port)
+}
+
+fn member(n: u8, zone: &str) -> Member {
+    Member {
+        process: ProcessId(u64::from(n)),
+        vm: format!("vm-{n}").parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        role: Role::Agent("orders".parse().unwrap()),
+        data: addr(n, 7001),
+        control: addr(n, 7000),
+        started: Timestamp::default(),
+        weight: Weight(5),
+        version: 1,
+        status: MemberStatus::Serving,
+        reaches_store: true,
+    }
+}
+
+fn table(zones: &[&str]) -> AgentTable {
+    let members: Vec<Member> = (1..).zip(zones).map(|(n, zone)| member(n, zone)).collect();
+    AgentTable::new(members.iter(), &"near".parse().unwrap())
+}
+
+fn flow(port: u16) -> FlowTuple {
+    FlowTuple::new(addr(200, port), addr(201, 443))
+}
+
+fn orders() -> ServiceTag {
+    ServiceTag::from(&"orders".parse().unwrap())
+}
+
+fn placement(agents: &AgentTable) -> FlowPlacement {
+    let mut placement = FlowPlacement::default();
+    placement.retain(agents);
+    placement
+}
+
+fn report(n: u64, in_use: u16) -> LoadReport {
+    LoadReport { in_use, ..LoadReport::idle(ProcessId(n), 5) }
+}
+
+fn placed(placement: &mut FlowPlacement, agents: &AgentTable, port: u16, now: Timestamp) -> u64 {
+    placement.place(&flow(port), orders(), agents, None, now).unwrap().process.0
+}
+
+#[test]
+fn flows_spread_evenly_without_reports() {
+    let agents = table(&["near"; 4]);
+    let mut placement = placement(&agents);
+    let mut counts = [0; 5];
+    for port in 0..100 {
+        counts[usize::try_from(placed(&mut placement, &agents, port, NOW)).unwrap()] += 1;
+    }
+    assert_eq!(counts[1..], [25; 4]);
+}
+
+#[test]
+fn near_agents_first_until_busy() {
+    let agents = table(&["near", "far"]);
+    let mut placement = placement(&agents);
+    placement.report(report(1, 1));
+    assert_eq!(placed(&mut placement, &agents, 1, NOW), 1);
+    placement.report(report(1, 5));
+    assert_eq!(placed(&mut placement, &agents, 2, NOW), 2);
+}
+
+/// An agent that leaves flows without a report gets no more while others do, until it answers.
+#[test]
+fn silent_agent_avoided() {
+    let agents = table(&["near", "far"]);
+    let mut placement = placement(&agents);
+    assert_eq!(placed(&mut placement, &agents, 1, NOW), 1);
+    let later = NOW + Duration::from_millis(250);
+    assert!(placement.silent(ProcessId(1), later));
+    assert_eq!(placed(&mut placement, &agents, 2, later), 2);
+    assert_eq!(placement.to_ask(later), [addr(1, 7000)]);
+    assert!(placement.to_ask(later).is_empty(), "asked again at once");
+    placement.report(report(1, 0));
+    assert!(!placement.silent(ProcessId(1), later));
+    assert_eq!(placed(&mut placement, &agents, 3, later), 1);
+}
+
+#[test]
+fn all_silent_is_cut_off() {
+    let agents = table(&["near", "near"]);
+    let mut placement = placement(&agents);
+    placed(&mut placement, &agents, 1, NOW);
+    placed(&mut placement, &agents, 2, NOW);
+    let later = NOW + Duration::from_millis(250);
+    assert!(!placement.reaches_any(later));
+    placement.report(report(2, 0));
+    assert!(placement.reaches_any(later));
+}
+
+#[test]
+fn copy_goes_elsewhere() {
+    let agents = table(&["near", "near"]);
+    let mut placement = placement(&agents);
+    let not = ProcessId(placed(&mut placement, &agents, 1, NOW));
+    let other = placement.place(&flow(1), orders(), &agents, Some(not), NOW).unwrap();
+    assert_ne!(other.process, not);
+}
+
+#[test]
+fn missing_counts_when_found_twice() {
+    let mut owners = OwnerCache::default();
+    assert!(!owners.missing(flow(1), NOW));
+    assert!(!owners.missing(flow(1), NOW + Duration::from_millis(10)), "same search");
+    assert!(owners.missing(flow(1), NOW + Duration::from_millis(200)));
+    let owner = Owner { process: ProcessId(1), data: addr(1, 7001) };
+    owners.set(flow(1), owner, NOW);
+    assert_eq!(owners.get(&flow(1), NOW), Some(owner));
+    assert!(!owners.missing(flow(1), NOW + Duration::from_millis(400)), "was found meanwhile");
+}
+
+#[test]
+fn unused_owners_forgotten() {
+    let mut owners = OwnerCache::default();
+    let owner = Owner { process: ProcessId(1), data: addr(1, 7001) };
+    owners.set(flow(1), owner, NOW);
+    owners.set(flow(2), owner, NOW);
+    for second in 1..60 {
+        owners.get(&flow(1), NOW + Duration::from_secs(second));
+    }
+    assert_eq!(owners.len(), 1);
+}
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -52,8 +52,8 @@
         let counters = AgentCounters::new(&node.handle.metrics)?;
         let packets = sockets::bind("bind packets", settings.packets).await?;
         let outbound = sockets::bind("bind packets of the target", from_target).await?;
-        let calls = endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats))
-            .await?;
+        let calls =
+            endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats)).await?;
         let (loads_tx, _) = flume::bounded(1);
         let (flows_tx, flows) = flume::unbounded();
         node.handle.set_inlets(Inlets { loads: loads_tx, flows: flows_tx, ..Inlets::closed() });
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -237,8 +237,7 @@
             Verdict::Missing { origin } => {
                 // Only a caller that waits for something needs to know.
                 if seg.kind == SegmentKind::Data && seg.len > 0 {
-                    let message =
-                        FlowMessage::Missing { flow: seg.flow, caller_expects: seg.ack };
+                    let message = FlowMessage::Missing { flow: seg.flow, caller_expects: seg.ack };
                     self.handle.send(origin, Message::Flow(message));
                 }
                 self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
@@ -398,7 +397,10 @@
 
     fn heartbeat(&mut self, id: String, heartbeat: &Heartbeat) {
         let known = self.run.as_ref().is_some_and(|run| run.id == id);
-        let late = self.run.as_ref().is_some_and(|run| run.id == id && heartbeat.number <= run.last_number);
+        let late = self
+            .run
+            .as_ref()
+            .is_some_and(|run| run.id == id && heartbeat.number <= run.last_number);
         if late {
             return;
         }
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -54,8 +54,8 @@
         let counters = BalancerCounters::new(&node.handle.metrics)?;
         let readiness = Rc::new(Cell::new(Readiness::Starting));
         let socket = sockets::bind("bind packets", settings.packets).await?;
-        let calls = endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats))
-            .await?;
+        let calls =
+            endpoints::serve(settings.readiness.into_iter().chain(settings.heartbeats)).await?;
         compio::runtime::spawn(answer_calls(calls, readiness.clone())).detach();
 
         let (loads_tx, loads) = flume::unbounded();
--- a/crates/dillmill-flow/src/route_watch.rs
+++ b/crates/dillmill-flow/src/route_watch.rs
@@ -81,7 +81,8 @@
         let able = |m: &&dillmill_core::Member| {
             m.reaches_store && m.status < dillmill_core::MemberStatus::Suspect
         };
-        let agents = || view.members.iter().filter(able).filter(|m| matches!(m.role, Role::Agent(_)));
+        let agents =
+            || view.members.iter().filter(able).filter(|m| matches!(m.role, Role::Agent(_)));
         let now = self.handle.clock.now();
         let me = view.me.process;
         if agents().count() >= self.watchers {
@@ -106,7 +107,9 @@
                 self.read().await
             }
             WatchOutcome::Changes(changes) => {
-                if let Some(newest) = changes.entries.iter().rfind(|e| e.key == DOCUMENT_KEY && !e.removed) {
+                if let Some(newest) =
+                    changes.entries.iter().rfind(|e| e.key == DOCUMENT_KEY && !e.removed)
+                {
                     self.take(newest);
                 }
                 self.after = Some(changes.current.max(after));
@@ -127,7 +130,9 @@
 
     fn take(&self, entry: &Entry) {
         match document::decode(&entry.value) {
-            Ok(routes) => self.handle.put_routes(format!("store version {}", entry.version), routes),
+            Ok(routes) => {
+                self.handle.put_routes(format!("store version {}", entry.version), routes)
+            }
             Err(e) => {
                 let what = format!("configuration of store version {} not used", entry.version);
                 self.handle.journal.record(EventKind::Settings, what, e.to_string());
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -78,7 +78,11 @@
             Some(lease) => {
                 if !self.store.renew(lease).await? {
                     let what = format!("lease {lease} is over");
-                    self.handle.journal.record(EventKind::Platform, what, "store has no such lease");
+                    self.handle.journal.record(
+                        EventKind::Platform,
+                        what,
+                        "store has no such lease",
+                    );
                     self.lease = None;
                     self.enter().await?;
                 }
--- a/crates/dillmill-node/src/log_writer.rs
+++ b/crates/dillmill-node/src/log_writer.rs
@@ -41,7 +41,8 @@
                 }
                 let missed = counter.swap(0, Ordering::Relaxed);
                 if missed > 0 {
-                    let note = format!("{{\"kind\":\"log\",\"what\":\"{missed} lines left out\"}}\n");
+                    let note =
+                        format!("{{\"kind\":\"log\",\"what\":\"{missed} lines left out\"}}\n");
                     batch.extend_from_slice(note.as_bytes());
                 }
                 // A log that can't be written has no place where that could be said.
--- a/crates/dillmill-node/src/metrics.rs
+++ b/crates/dillmill-node/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics that every process has; each role adds its own to the same registry.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::NodeError;
 
@@ -80,7 +82,12 @@
     /// # Errors
     ///
     /// Fails if the name is taken or the bounds do not rise.
-    pub fn histogram(&self, name: &str, help: &str, bounds: &[f64]) -> Result<Histogram, NodeError> {
+    pub fn histogram(
+        &self,
+        name: &str,
+        help: &str,
+        bounds: &[f64],
+    ) -> Result<Histogram, NodeError> {
         let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
         let opts = HistogramOpts::new(name, help).buckets(bounds.to_vec());
         let metric = Histogram::with_opts(opts).map_err(error)?;
--- a/crates/dillmill-node/src/store_task.rs
+++ b/crates/dillmill-node/src/store_task.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use dillmill_core::{MemberStatus, Revision, watch_duty};
-use dillmill_store::SettingsStore;
 use dillmill_settings::Tree;
+use dillmill_store::SettingsStore;
 
 use crate::control::Input;
 use crate::{NodeHandle, View, Views};
--- a/crates/dillmill/src/command.rs
+++ b/crates/dillmill/src/command.rs
@@ -98,9 +98,7 @@
     let metrics_port = matches.opt_str("metrics-port");
     match (matches.opt_str("config"), matches.opt_present("platform")) {
         (Some(_), true) => Err(UsageError("--config and --platform exclude each other".to_owned())),
-        (None, false) => {
-            Err(UsageError("--config FILE is missing (or --platform)".to_owned()))
-        }
+        (None, false) => Err(UsageError("--config FILE is missing (or --platform)".to_owned())),
         (Some(_), false) if metrics_port.is_some() => Err(UsageError(
             "--metrics-port goes with --platform; a settings file has `admin`".to_owned(),
         )),
--- a/crates/dillmill/src/main.rs
+++ b/crates/dillmill/src/main.rs
@@ -29,9 +29,7 @@
     };
     let code = match source {
         Source::File(path) => Box::pin(serve_http3(role, &path, check)).await,
-        Source::Platform { metrics_port } => {
-            Box::pin(serve_flows(role, metrics_port, check)).await
-        }
+        Source::Platform { metrics_port } => Box::pin(serve_flows(role, metrics_port, check)).await,
     };
     logging::flush();
     code
--- a/crates/dillmill/tests/command_line.rs
+++ b/crates/dillmill/tests/command_line.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::Command as Program;
 
-use dillmill::command::{Command, RoleCommand, parse};
+use dillmill::command::{Command, RoleCommand, Source, parse};
 use rstest::rstest;
 
 const GOOD: &str = "\
@@ -22,8 +22,17 @@
 #[test]
 fn role_and_file_read() {
     let command = parse(&words("agent --config a.yaml --check")).unwrap();
-    let config = PathBuf::from("a.yaml");
-    assert_eq!(command, Command::Run { role: RoleCommand::Agent, config, check: true });
+    let source = Source::File(PathBuf::from("a.yaml"));
+    assert_eq!(command, Command::Run { role: RoleCommand::Agent, source, check: true });
+}
+
+#[rstest]
+#[case("balancer --platform", None)]
+#[case("balancer --platform --metrics-port 9464", Some(9464))]
+fn platform_read(#[case] line: &str, #[case] metrics_port: Option<u16>) {
+    let source = Source::Platform { metrics_port };
+    let run = Command::Run { role: RoleCommand::Balancer, source, check: false };
+    assert_eq!(parse(&words(line)).unwrap(), run);
 }
 
 #[rstest]
@@ -31,6 +40,9 @@
 #[case::no_file("balancer")]
 #[case::no_role("--config a.yaml")]
 #[case::other_role("router --config a.yaml")]
+#[case::two_sources("balancer --config a.yaml --platform")]
+#[case::metrics_port_of_a_file("balancer --config a.yaml --metrics-port 1")]
+#[case::no_port("balancer --platform --metrics-port x")]
 #[case::unknown_option("balancer --config a.yaml --verbose")]
 fn wrong_lines_refused(#[case] line: &str) {
     assert!(parse(&words(line)).is_err());
--- a/crates/dillmillctl/src/config.rs
+++ b/crates/dillmillctl/src/config.rs
@@ -6,8 +6,8 @@
 use dillmill_core::Secret;
 use dillmill_node::NodeError;
 use dillmill_platform::Store;
-use dillmill_store::SettingsStore;
 use dillmill_settings::yaml;
+use dillmill_store::SettingsStore;
 use dillmill_wire::ClusterKey;
 use serde::Deserialize;
 
--- a/crates/dillmillctl/src/verbs/settings.rs
+++ b/crates/dillmillctl/src/verbs/settings.rs
@@ -5,8 +5,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use dillmill_core::{GroupName, Revision, ServiceName, Timestamp};
-use dillmill_store::settings_store::Edit;
 use dillmill_settings::{NodePath, Tree, WriteId};
+use dillmill_store::settings_store::Edit;
 use rand::Rng;
 use serde_json::json;
 use serde_norway::Value;
