--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -20,11 +20,17 @@
     Search {
         /// Place of the agent in the order of search.
         step: u8,
+        /// Every agent so far could tell that its target does not hold the flow.
+        sure: bool,
     },
-    /// A directory says that the agent owns the flow.
+    /// A directory, or an agent that has passed the flow on, says that the agent owns it.
     Directed {
-        /// Place of the directory in the order of search, where the search goes on if it is wrong.
+        /// Place in the order of search where the search goes on if that is wrong.
         step: u8,
+        /// As in [`Errand::Search`].
+        sure: bool,
+        /// How often the packet was directed already.
+        times: u8,
     },
 }
 
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -10,7 +10,7 @@
 use crate::agent_table::{AgentEntry, AgentTable};
 use crate::envelope::{Envelope, Errand};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
-use crate::route_table::RouteTable;
+use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{Fit, TargetFlows, TargetLoad};
 use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
@@ -20,8 +20,11 @@
 /// Agents asked for the owner of a flow; more than the targets of any one service to come (9 on
 /// average) leave room for several.
 const SEARCH_STEPS: u8 = 64;
+/// How often a packet is sent where a record says before the search goes on in order: an opening packet
+/// passed on three times leaves as many records.
+const DIRECTIONS: u8 = 4;
 /// After this time every flow that began before the agent did is over or may be forgotten.
-const ALL_FLOWS_SEEN: Duration = Duration::from_secs(60);
+const ALL_FLOWS_SEEN: Duration = Duration::from_mins(1);
 /// Packets given to the target on trial that are remembered until it gives them back.
 const TRIALS: usize = 4096;
 
@@ -71,8 +74,13 @@
     Deliver {
         /// Zero, or the number of a trial that the target may give back.
         mark: u32,
-        /// Tell the balancer that took the packet that the flow is here.
-        tell: bool,
+        /// The balancer to tell that the flow is here.
+        tell: Option<SocketAddrV4>,
+    },
+    /// Hand a copy to the target without a mark, and do the rest besides.
+    Try {
+        /// What to do besides.
+        onward: Box<Verdict>,
     },
     /// Pass it to another agent.
     Pass {
@@ -88,12 +96,55 @@
         /// The balancer's control address.
         origin: SocketAddrV4,
     },
-    /// Reset the opening packet at the caller.
-    Refuse(RefuseReason),
+    /// Tell the balancer that nobody can take the flow. It resets the opening packet, unless it has
+    /// given the flow to another agent meanwhile.
+    Refuse {
+        /// Why.
+        reason: RefuseReason,
+        /// The balancer's control address.
+        origin: SocketAddrV4,
+        /// The agent to which the balancer gave the flow.
+        placed: ProcessId,
+    },
     /// Do nothing; the caller sends again.
     Drop,
 }
 
+/// How far the search for a flow's owner has come.
+#[derive(Debug, Clone, Copy)]
+struct SearchState {
+    /// Place in the order of search where it goes on.
+    next: u8,
+    /// Every agent so far could tell.
+    sure: bool,
+    /// How often the packet was sent where a record said.
+    directed: u8,
+    /// The balancer does not know that the flow is here.
+    told_by_others: bool,
+}
+
+impl From<&Errand> for SearchState {
+    fn from(errand: &Errand) -> Self {
+        let start = Self { next: 0, sure: true, directed: 0, told_by_others: false };
+        match *errand {
+            Errand::Place { .. } | Errand::Deliver => start,
+            Errand::Search { step, sure } => {
+                Self { next: step.saturating_add(1), sure, told_by_others: true, ..start }
+            }
+            Errand::Directed { step, sure, times } => {
+                Self { next: step, sure, directed: times, told_by_others: true }
+            }
+        }
+    }
+}
+
+fn errand_step(errand: &Errand) -> u8 {
+    match errand {
+        Errand::Search { step, .. } | Errand::Directed { step, .. } => *step,
+        Errand::Place { .. } | Errand::Deliver => 0,
+    }
+}
+
 /// What follows from a packet of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answered {
@@ -112,6 +163,27 @@
     pub routes: &'a RouteTable,
 }
 
+/// A packet, what came with it, and what is known at that moment.
+#[derive(Debug, Clone, Copy)]
+struct Arrival<'a> {
+    seg: &'a Segment,
+    env: &'a Envelope,
+    known: Known<'a>,
+    now: Timestamp,
+}
+
+impl Arrival<'_> {
+    /// Returns the services that may hold the flow.
+    fn services(&self) -> Vec<ServiceTag> {
+        let route = self.known.routes.get(self.seg.flow.route());
+        let mut services = route.map_or_else(Vec::new, RouteEntry::services);
+        if !services.contains(&self.env.service) {
+            services.push(self.env.service);
+        }
+        services
+    }
+}
+
 /// The state of an agent before its target.
 #[derive(Debug)]
 pub struct FlowGate {
@@ -221,135 +293,146 @@
         known: Known<'_>,
         now: Timestamp,
     ) -> Verdict {
+        let arrival = Arrival { seg, env, known, now };
         match (&env.errand, seg.kind) {
             (Errand::Place { passed }, SegmentKind::Open { copies }) => {
-                self.place(seg, copies, env, passed, known, now)
+                self.place(arrival, copies, passed)
             }
             (Errand::Place { .. }, _) | (_, SegmentKind::Open { .. } | SegmentKind::Accept) => {
                 Verdict::Drop
             }
-            (Errand::Deliver, _) => self.find(seg, env, None, known, now),
-            (Errand::Search { step }, _) => self.find(seg, env, Some((*step, true)), known, now),
-            (Errand::Directed { step }, _) => self.find(seg, env, Some((*step, false)), known, now),
+            (errand, _) => self.find(arrival, errand.into()),
         }
     }
 
-    fn place(
-        &mut self,
-        seg: &Segment,
-        copies: u32,
-        env: &Envelope,
-        passed: &[ProcessId],
-        known: Known<'_>,
-        now: Timestamp,
-    ) -> Verdict {
-        let mut service = env.service;
-        if known.routes.revision > env.revision {
-            let Some(route) = known.routes.get(seg.flow.route()) else {
-                return Verdict::Refuse(RefuseReason::NoRoute);
-            };
-            if !route.allows(service) {
-                let Some(moved) = route.service(&seg.flow) else {
-                    return Verdict::Refuse(RefuseReason::NoRoute);
-                };
-                service = moved;
-            }
-        }
+    /// Decides on a packet that opens a flow.
+    fn place(&mut self, arrival: Arrival<'_>, copies: u32, passed: &[ProcessId]) -> Verdict {
+        let Arrival { seg, env, known, now } = arrival;
+        let Some(service) = service_now(seg, env, known.routes) else {
+            return self.refuse(RefuseReason::NoRoute, env, passed);
+        };
         if service != self.service {
             let reason = PassReason::OtherService;
-            return self.pass_on(seg, service, env, passed, reason, known).unwrap_or(Verdict::Drop);
+            return self.pass_on(arrival, service, passed, reason).unwrap_or(Verdict::Drop);
         }
         if !self.takes_new() {
-            let refused = Verdict::Refuse(RefuseReason::NoTarget);
-            return self
-                .pass_on(seg, service, env, passed, PassReason::Leaving, known)
-                .unwrap_or(refused);
+            let refused = self.refuse(RefuseReason::NoTarget, env, passed);
+            return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
         }
         let full = self.load(now).requests >= u32::from(self.slots);
         if full
             && passed.len() < PLACE_HOPS
-            && let Some(verdict) = self.pass_on(seg, service, env, passed, PassReason::Full, known)
+            && let Some(verdict) = self.pass_on(arrival, service, passed, PassReason::Full)
         {
             return verdict;
         }
         self.flows.opening(seg.flow, copies, now);
-        Verdict::Deliver { mark: self.begin_trial(env.clone()), tell: false }
+        // The balancer knows only the agent that it chose itself.
+        let tell = (!passed.is_empty()).then_some(env.origin);
+        Verdict::Deliver { mark: self.begin_trial(env.clone()), tell }
     }
 
-    /// Passes an opening packet to an agent that has not had it yet, a near one first.
+    fn refuse(&self, reason: RefuseReason, env: &Envelope, passed: &[ProcessId]) -> Verdict {
+        let placed = passed.first().copied().unwrap_or(self.me);
+        Verdict::Refuse { reason, origin: env.origin, placed }
+    }
+
+    /// Passes an opening packet to an agent that has not had it yet, a near one first, and remembers
+    /// which: the balancer sends the packets that follow here until it hears of the owner.
     fn pass_on(
-        &self,
-        seg: &Segment,
+        &mut self,
+        arrival: Arrival<'_>,
         service: ServiceTag,
-        env: &Envelope,
         passed: &[ProcessId],
         reason: PassReason,
-        known: Known<'_>,
     ) -> Option<Verdict> {
+        let Arrival { seg, env, known, now } = arrival;
         let fresh =
             |a: &&AgentEntry| a.process != self.me && !passed.contains(&a.process) && a.slots > 0;
         let rank = |a: &&AgentEntry| (a.near, seg.flow.score(a.process.0));
         let next = known.agents.serving(service).filter(fresh).max_by_key(rank)?;
+        let record = FlowRecord {
+            flow: seg.flow,
+            target_seq: None,
+            open: false,
+            owner: next.process,
+            data: next.data,
+        };
+        self.directory.register(record, now);
         let mut passed = passed.to_vec();
         passed.push(self.me);
         let envelope = Envelope { service, errand: Errand::Place { passed }, ..env.clone() };
         Some(Verdict::Pass { to: next.data, envelope, reason })
     }
 
-    /// Decides on a packet of a flow that should be open somewhere; `search` is the place in the
-    /// order of search, and whether the directory is to be asked.
-    fn find(
-        &mut self,
-        seg: &Segment,
-        env: &Envelope,
-        search: Option<(u8, bool)>,
-        known: Known<'_>,
-        now: Timestamp,
-    ) -> Verdict {
-        let fit = self.flows.from_caller(seg, now);
+    /// Decides on a packet of a flow that should be open somewhere.
+    fn find(&mut self, arrival: Arrival<'_>, search: SearchState) -> Verdict {
+        let Arrival { seg, env, now, .. } = arrival;
+        let fit = self.flows.note_caller(seg, now);
         if fit == Fit::Ours {
-            return Verdict::Deliver { mark: 0, tell: search.is_some() };
+            let tell = search.told_by_others.then_some(env.origin);
+            return Verdict::Deliver { mark: 0, tell };
         }
-        if let Some((step, true)) = search
-            && let Some(record) = self.directory.owner(&seg.flow, seg.ack, now)
-            && record.data != self.data
-            && known.agents.iter().any(|a| a.data == record.data)
-        {
-            let envelope = Envelope { errand: Errand::Directed { step }, ..env.clone() };
-            return Verdict::Pass { to: record.data, envelope, reason: PassReason::Directed };
+        if let Some(verdict) = self.direct(arrival, search) {
+            return verdict;
         }
         let blind = !self.sees_all && now.since(self.started) < ALL_FLOWS_SEEN;
         let may_hold = fit == Fit::Unknown
             && blind
             && self.standing != TargetStanding::Gone
-            && services(seg, env, known).contains(&self.service);
-        let next = search.map_or(0, |(step, _)| step.saturating_add(1));
-        if may_hold {
-            let errand = Errand::Search { step: next };
-            let mark = self.begin_trial(Envelope { errand, ..env.clone() });
-            return Verdict::Deliver { mark, tell: false };
+            && arrival.services().contains(&self.service);
+        if !may_hold {
+            return self.search_on(arrival, search);
+        }
+        if self.standing == TargetStanding::Unknown {
+            // Nothing tells yet whether there is a target that could give the packet back.
+            let unsure = SearchState { sure: false, ..search };
+            return Verdict::Try { onward: Box::new(self.search_on(arrival, unsure)) };
         }
-        self.search_on(seg, env, next, known)
+        let errand = Errand::Search { step: search.next, sure: search.sure };
+        let mark = self.begin_trial(Envelope { errand, ..env.clone() });
+        Verdict::Deliver { mark, tell: None }
+    }
+
+    /// Passes a packet to the agent that a record names as the owner of its flow.
+    fn direct(&mut self, arrival: Arrival<'_>, search: SearchState) -> Option<Verdict> {
+        let Arrival { seg, env, known, now } = arrival;
+        if search.directed >= DIRECTIONS {
+            return None;
+        }
+        let record = self.directory.owner(&seg.flow, seg.ack, now)?;
+        let alive = known.agents.iter().any(|a| a.data == record.data);
+        if record.data == self.data || !alive {
+            return None;
+        }
+        let errand =
+            Errand::Directed { step: search.next, sure: search.sure, times: search.directed + 1 };
+        let envelope = Envelope { errand, ..env.clone() };
+        Some(Verdict::Pass { to: record.data, envelope, reason: PassReason::Directed })
     }
 
     /// Sends a packet to the next agent in the order of search.
-    fn search_on(&self, seg: &Segment, env: &Envelope, step: u8, known: Known<'_>) -> Verdict {
-        let services = services(seg, env, known);
+    fn search_on(&self, arrival: Arrival<'_>, search: SearchState) -> Verdict {
+        let Arrival { seg, env, known, .. } = arrival;
+        let services = arrival.services();
         let order = known.agents.search_order(&seg.flow, &services);
         let next = order
             .iter()
             .enumerate()
-            .skip(usize::from(step))
+            .skip(usize::from(search.next))
             .take_while(|(i, _)| *i < usize::from(SEARCH_STEPS))
             .find(|(_, a)| a.process != self.me);
         match next {
             Some((i, agent)) => {
                 let step = u8::try_from(i).unwrap_or(SEARCH_STEPS);
-                let envelope = Envelope { errand: Errand::Search { step }, ..env.clone() };
+                let errand = Errand::Search { step, sure: search.sure };
+                let envelope = Envelope { errand, ..env.clone() };
                 Verdict::Pass { to: agent.data, envelope, reason: PassReason::Search }
             }
-            None if known.agents.any_suspect(&services) => Verdict::Drop,
-            None => Verdict::Missing { origin: env.origin },
+            None if search.sure && !known.agents.any_suspect(&services) => {
+                Verdict::Missing { origin: env.origin }
+            }
+            None => Verdict::Drop,
         }
     }
 
@@ -360,14 +443,7 @@
     }
 
     /// Decides on a packet that the target has given back.
-    ///
-    /// Also returns the balancer that took it from the caller.
-    pub fn returned(
-        &mut self,
-        seg: &Segment,
-        known: Known<'_>,
-        now: Timestamp,
-    ) -> (Verdict, SocketAddrV4) {
+    pub fn returned(&mut self, seg: &Segment, known: Known<'_>, now: Timestamp) -> Verdict {
         let trial = usize::try_from(seg.mark)
             .ok()
             .and_then(|mark| mark.checked_sub(1))
@@ -375,46 +451,35 @@
             .cloned()
             .flatten();
         self.flows.forget(&seg.flow);
-        let Some(env) = trial else { return (Verdict::Drop, self.data) };
-        let origin = env.origin;
-        (self.after_trial(seg, env, known, now), origin)
+        match trial {
+            Some(env) => self.after_trial(Arrival { seg, env: &env, known, now }),
+            None => Verdict::Drop,
+        }
     }
 
-    fn after_trial(
-        &mut self,
-        seg: &Segment,
-        env: Envelope,
-        known: Known<'_>,
-        now: Timestamp,
-    ) -> Verdict {
+    fn after_trial(&mut self, arrival: Arrival<'_>) -> Verdict {
+        let Arrival { seg, env, .. } = arrival;
         match (&env.errand, seg.kind) {
             (Errand::Place { passed }, SegmentKind::Open { .. }) => {
                 let reason = PassReason::Returned;
-                let refused = Verdict::Refuse(RefuseReason::NoTarget);
+                let refused = self.refuse(RefuseReason::NoTarget, env, passed);
                 if passed.len() > PLACE_HOPS {
                     return refused;
                 }
-                self.pass_on(seg, env.service, &env, passed, reason, known).unwrap_or(refused)
+                self.pass_on(arrival, env.service, passed, reason).unwrap_or(refused)
             }
-            (Errand::Search { step }, kind) if !matches!(kind, SegmentKind::Open { .. }) => {
-                if let Some(record) = self.directory.owner(&seg.flow, seg.ack, now)
-                    && record.data != self.data
-                    && *step <= 1
-                    && known.agents.iter().any(|a| a.data == record.data)
-                {
-                    let envelope = Envelope { errand: Errand::Directed { step: *step }, ..env };
-                    let reason = PassReason::Directed;
-                    return Verdict::Pass { to: record.data, envelope, reason };
-                }
-                self.search_on(seg, &env, *step, known)
+            (errand @ Errand::Search { .. }, kind) if !matches!(kind, SegmentKind::Open { .. }) => {
+                // The trial has already counted the step on which the search goes on.
+                let search = SearchState { next: errand_step(errand), ..errand.into() };
+                self.search_on(arrival, search)
             }
             _ => Verdict::Drop,
         }
     }
 
     /// Takes in a packet of the target on its way to the caller.
-    pub fn from_target(&mut self, seg: &Segment, now: Timestamp) -> Answered {
-        let noted = self.flows.from_target(seg, now);
+    pub fn answered(&mut self, seg: &Segment, now: Timestamp) -> Answered {
+        let noted = self.flows.note_target(seg, now);
         let accept = seg.kind == SegmentKind::Accept;
         let record = noted.new.then(|| self.record(seg.flow, accept.then_some(seg.seq), !accept));
         Answered { record, answered: noted.answered }
@@ -427,14 +492,11 @@
     }
 }
 
-/// Returns the services that may hold a flow.
-fn services(seg: &Segment, env: &Envelope, known: Known<'_>) -> Vec<ServiceTag> {
-    let mut services = known
-        .routes
-        .get(seg.flow.route())
-        .map_or_else(Vec::new, crate::route_table::RouteEntry::services);
-    if !services.contains(&env.service) {
-        services.push(env.service);
+/// Returns the service of a new flow: what the balancer said, unless newer settings say otherwise.
+fn service_now(seg: &Segment, env: &Envelope, routes: &RouteTable) -> Option<ServiceTag> {
+    if routes.revision <= env.revision {
+        return Some(env.service);
     }
-    services
+    let route = routes.get(seg.flow.route())?;
+    if route.allows(env.service) { Some(env.service) } else { route.service(&seg.flow) }
 }
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -82,7 +82,7 @@
     }
 
     /// Takes in a packet of the caller and says whether it belongs to the target.
-    pub fn from_caller(&mut self, seg: &Segment, now: Timestamp) -> Fit {
+    pub fn note_caller(&mut self, seg: &Segment, now: Timestamp) -> Fit {
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return Fit::Unknown };
         if flow.stage == Stage::Opening {
             let near =
@@ -101,7 +101,7 @@
     }
 
     /// Takes in a packet of the target.
-    pub fn from_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
+    pub fn note_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else {
             if seg.kind == SegmentKind::Reset {
                 return FromTarget::default();
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -105,7 +105,7 @@
 
 fn open_flow(gate: &mut FlowGate, port: u16, known: Known<'_>) {
     assert!(matches!(arrived(gate, &open(port), &place(), known), Verdict::Deliver { .. }));
-    assert!(gate.from_target(&accept(port), NOW).record.is_some());
+    assert!(gate.answered(&accept(port), NOW).record.is_some());
 }
 
 #[test]
@@ -115,9 +115,10 @@
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
-    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: false });
-    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0 }), known);
-    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: true });
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: None });
+    let verdict =
+        arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0, sure: true }), known);
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: Some(control(9)) });
 }
 
 #[rstest]
@@ -137,7 +138,7 @@
     assert_eq!(env.errand, Errand::Place { passed: vec![ProcessId(1)] });
     // Its open flows stay with it.
     let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
-    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: false });
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: None });
 }
 
 #[test]
@@ -148,7 +149,8 @@
     let mut gate = gate();
     gate.set_standing(TargetStanding::Leaving, 5);
     let verdict = arrived(&mut gate, &open(1), &place(), known);
-    assert_eq!(verdict, Verdict::Refuse(RefuseReason::NoTarget));
+    let (origin, placed) = (control(9), ProcessId(1));
+    assert_eq!(verdict, Verdict::Refuse { reason: RefuseReason::NoTarget, origin, placed });
 }
 
 #[test]
@@ -184,7 +186,8 @@
     let (agents, routes) = (three(), RouteTable::new(Revision(2), []));
     let known = Known { agents: &agents, routes: &routes };
     let verdict = arrived(&mut gate(), &open(1), &place(), known);
-    assert_eq!(verdict, Verdict::Refuse(RefuseReason::NoRoute));
+    let (origin, placed) = (control(9), ProcessId(1));
+    assert_eq!(verdict, Verdict::Refuse { reason: RefuseReason::NoRoute, origin, placed });
 }
 
 #[test]
@@ -193,7 +196,8 @@
     let known = Known { agents: &agents, routes: &routes };
     let env = Envelope { service: tag("labels"), ..place() };
     assert_eq!(arrived(&mut gate(), &open(1), &env, known), Verdict::Drop);
-    let env = Envelope { service: tag("labels"), ..envelope(Errand::Search { step: 0 }) };
+    let env =
+        Envelope { service: tag("labels"), ..envelope(Errand::Search { step: 0, sure: true }) };
     let verdict = arrived(&mut restarted_gate(), &request(1), &env, known);
     assert!(!matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
 }
@@ -216,12 +220,12 @@
         gates[owner].arrived(&open(port), &place(), known, NOW),
         Verdict::Deliver { .. }
     ));
-    let record = gates[owner].from_target(&accept(port), NOW).record.unwrap();
+    let record = gates[owner].answered(&accept(port), NOW).record.unwrap();
     for directory in agents.directory(&flow(port)) {
         gates[usize::try_from(directory.process.0).unwrap() - 1].register(record, NOW);
     }
     let mut at = agents.search_order(&flow(port), &[tag("orders")])[0].data;
-    let mut env = envelope(Errand::Search { step: 0 });
+    let mut env = envelope(Errand::Search { step: 0, sure: true });
     for _ in 0..4 {
         let n = usize::from(at.ip().octets()[3]) - 1;
         match gates[n].arrived(&request(port), &env, known, NOW) {
@@ -237,7 +241,7 @@
 fn flow_of_nobody_is_missing() {
     let (agents, routes) = (three(), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes };
-    let last = envelope(Errand::Search { step: 2 });
+    let last = envelope(Errand::Search { step: 2, sure: true });
     let verdict = arrived(&mut gate(), &request(1), &last, known);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
 }
@@ -249,7 +253,7 @@
     members[2].status = MemberStatus::Suspect;
     let (agents, routes) = (agents(&members), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes };
-    let last = envelope(Errand::Search { step: 1 });
+    let last = envelope(Errand::Search { step: 1, sure: true });
     assert_eq!(arrived(&mut gate(), &request(1), &last, known), Verdict::Drop);
 }
 
@@ -259,13 +263,13 @@
     let (agents, routes) = (three(), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes };
     let mut gate = restarted_gate();
-    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0 }), known);
-    let Verdict::Deliver { mark, tell: false } = verdict else { panic!("{verdict:?}") };
+    let verdict =
+        arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0, sure: true }), known);
+    let Verdict::Deliver { mark, tell: None } = verdict else { panic!("{verdict:?}") };
     assert_ne!(mark, 0);
     let back = Segment { returned: true, mark, ..request(1) };
-    let (verdict, origin) = gate.returned(&back, known, NOW);
+    let verdict = gate.returned(&back, known, NOW);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
-    assert_eq!(origin, control(9));
     // After a minute all flows of the target have been seen.
     let later = NOW + Duration::from_secs(61);
     let verdict = gate.arrived(&request(2), &envelope(Errand::Deliver), known, later);
@@ -281,7 +285,7 @@
         panic!("not delivered")
     };
     let back = Segment { returned: true, mark, ..open(1) };
-    let (verdict, _) = gate.returned(&back, known, NOW);
+    let verdict = gate.returned(&back, known, NOW);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Returned, .. }), "{verdict:?}");
 }
 
@@ -318,6 +322,42 @@
     let later = NOW + Duration::from_millis(50);
     assert_eq!((gate.load(later).requests, gate.load(later).flows), (1, 1));
     let answer = Segment { len: 10, ..segment(1, SegmentKind::Data) };
-    assert_eq!(gate.from_target(&answer, later).answered, Some(Duration::from_millis(50)));
+    assert_eq!(gate.answered(&answer, later).answered, Some(Duration::from_millis(50)));
     assert_eq!((gate.load(later).requests, gate.load(later).flows), (0, 1));
 }
+
+/// A packet that follows an opening packet that was passed on goes the same way, before any directory
+/// has heard of the flow.
+#[test]
+fn passed_on_flow_followed() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = gate();
+    gate.set_standing(TargetStanding::Leaving, 5);
+    let Verdict::Pass { to, envelope: env, .. } = arrived(&mut gate, &open(1), &place(), known)
+    else {
+        panic!("not passed on")
+    };
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    let Verdict::Pass { to: later, reason: PassReason::Directed, .. } = verdict else {
+        panic!("{verdict:?}")
+    };
+    assert_eq!(later, to);
+    // The agent that takes it tells the balancer at once.
+    let n = to.ip().octets()[3];
+    let mut next = FlowGate::new(ProcessId(u64::from(n)), to, tag("orders"), NOW);
+    next.set_standing(TargetStanding::Ready, 5);
+    let verdict = next.arrived(&open(1), &env, known, NOW);
+    assert!(matches!(verdict, Verdict::Deliver { tell: Some(_), .. }), "{verdict:?}");
+}
+
+/// An agent that has not heard from its target can't prove that nobody holds a flow.
+#[test]
+fn unheard_target_leaves_it_open() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes };
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    let last = envelope(Errand::Search { step: 2, sure: true });
+    let verdict = arrived(&mut gate, &request(1), &last, known);
+    assert_eq!(verdict, Verdict::Try { onward: Box::new(Verdict::Drop) });
+}
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -1,7 +1,10 @@
 //! The agent's process.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
+use dillmill_core::flow_gate::TargetStanding;
 use dillmill_core::{EventKind, MemberStatus, Role};
 use dillmill_node::{Inlets, Node, NodeError, NodeSpec, SettingsSource};
 use dillmill_platform::ProcessSettings;
@@ -23,7 +26,8 @@
     /// Its control task.
     pub node: Node,
     stop: flume::Sender<StopRequest>,
-    stop_limit: Duration,
+    /// How long a stop may take; a reload may change it.
+    pub stop_limit: Rc<Cell<Duration>>,
 }
 
 impl FlowAgent {
@@ -70,7 +74,7 @@
         compio::runtime::spawn(task.run(calls, flows, stops)).detach();
         Session::spawn(&node, config.control, settings.shortest_lease);
         RouteWatch::spawn(&node, config.watchers);
-        Ok(Self { node, stop, stop_limit: settings.stop_limit })
+        Ok(Self { node, stop, stop_limit: Rc::new(Cell::new(settings.stop_limit)) })
     }
 
     /// Stops as planned: takes no new flow, lets requests finish, then ends.
@@ -78,11 +82,15 @@
         let handle = &self.node.handle;
         handle.journal.record(EventKind::Process, "agent stops", "asked to");
         let (done, finished) = flume::bounded(1);
-        let limit = self.stop_limit.saturating_sub(STOP_MARGIN);
+        let limit = self.stop_limit.get().saturating_sub(STOP_MARGIN);
         let _ = self.stop.send(StopRequest { done });
-        let in_time = compio::time::timeout(limit, finished.recv_async()).await.is_ok();
-        let cause = if in_time { "no more requests" } else { "limit reached" };
+        let standing = compio::time::timeout(limit, finished.recv_async()).await;
+        let cause = if standing.is_ok() { "no more requests" } else { "limit reached" };
         handle.journal.record(EventKind::Process, "agent stopped", cause);
-        handle.stopped().await;
+        // While the target lives, its flows do: the others must not take them for gone. The agent is
+        // started again, or its silence tells.
+        if matches!(standing, Ok(Ok(TargetStanding::Gone))) {
+            handle.stopped().await;
+        }
     }
 }
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -35,8 +35,8 @@
 /// Asks the task to take no new flow, and to say when no request is left.
 #[derive(Debug)]
 pub struct StopRequest {
-    /// Told when the last request has its answer.
-    pub done: flume::Sender<()>,
+    /// Told when the last request has its answer, and whether the target has ended too.
+    pub done: flume::Sender<TargetStanding>,
 }
 
 enum Event {
@@ -141,8 +141,8 @@
                 self.take_view(&view);
             }
             match event {
-                Event::FromNetwork(buf) => self.from_network(buf, now).await,
-                Event::FromTarget(buf) => self.from_target(buf, now).await,
+                Event::FromNetwork(buf) => self.take_from_network(buf, now).await,
+                Event::FromTarget(buf) => self.take_from_target(buf, now).await,
                 Event::Flow(from, message) => self.message(from, message, now),
                 Event::Call(call) => self.call(call),
                 Event::Stop(request) => self.stop(request, now),
@@ -164,7 +164,7 @@
         }
     }
 
-    async fn from_network(&mut self, buf: Vec<u8>, now: Timestamp) {
+    async fn take_from_network(&mut self, buf: Vec<u8>, now: Timestamp) {
         let Ok((envelope, packet)) = open_envelope(&buf) else {
             return self.counters.dropped.inc();
         };
@@ -176,21 +176,21 @@
         }
         let known = Known { agents: &self.agents, routes: &self.routes };
         let verdict = self.gate.arrived(&seg, &envelope, known, now);
-        self.carry_out(verdict, &seg, envelope.origin, packet.to_vec(), now).await;
+        self.carry_out(verdict, &seg, packet.to_vec(), now).await;
     }
 
-    async fn from_target(&mut self, buf: Vec<u8>, now: Timestamp) {
+    async fn take_from_target(&mut self, buf: Vec<u8>, now: Timestamp) {
         let returned = packet::decode(&buf, Sender::Caller).ok().filter(|seg| seg.returned);
         if let Some(seg) = returned {
             self.counters.returned.inc();
             let known = Known { agents: &self.agents, routes: &self.routes };
-            let (verdict, origin) = self.gate.returned(&seg, known, now);
-            return self.carry_out(verdict, &seg, origin, buf, now).await;
+            let verdict = self.gate.returned(&seg, known, now);
+            return self.carry_out(verdict, &seg, buf, now).await;
         }
         let Ok(seg) = packet::decode(&buf, Sender::Target) else {
             return self.counters.dropped.inc();
         };
-        let noted = self.gate.from_target(&seg, now);
+        let noted = self.gate.answered(&seg, now);
         if let Some(record) = noted.record {
             self.registrations.push(record);
         }
@@ -205,24 +205,23 @@
         &mut self,
         verdict: Verdict,
         seg: &Segment,
-        origin: SocketAddrV4,
-        mut packet: Vec<u8>,
+        packet: Vec<u8>,
         now: Timestamp,
     ) {
         match verdict {
             Verdict::Deliver { mark, tell } => {
-                packet::set_mark(&mut packet, mark);
-                self.counters.delivered.inc();
                 self.log_delivery(seg, mark, now);
-                if !sockets::send(&self.outbound, packet, self.target).await {
-                    self.counters.dropped.inc();
-                }
-                if tell {
+                self.deliver(packet, mark).await;
+                if let Some(balancer) = tell {
                     let (owner, data) = (self.handle.process, self.gate.data());
                     let message = FlowMessage::Owner { flow: seg.flow, owner, data };
-                    self.handle.send(origin, Message::Flow(message));
+                    self.handle.send(balancer, Message::Flow(message));
                 }
             }
+            Verdict::Try { onward } => {
+                self.deliver(packet.clone(), 0).await;
+                Box::pin(self.carry_out(*onward, seg, packet, now)).await;
+            }
             Verdict::Pass { to, envelope, reason } => {
                 if matches!(envelope.errand, Errand::Place { .. }) {
                     self.counters.passed_on.inc();
@@ -235,24 +234,34 @@
                 self.pass(&envelope, packet, to).await;
             }
             Verdict::Missing { origin } => {
+                self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
                 // Only a caller that waits for something needs to know.
                 if seg.kind == SegmentKind::Data && seg.len > 0 {
                     let message = FlowMessage::Missing { flow: seg.flow, caller_expects: seg.ack };
                     self.handle.send(origin, Message::Flow(message));
                 }
-                self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
             }
-            Verdict::Refuse(reason) => {
+            Verdict::Refuse { reason, origin, placed } => {
                 self.counters.refused.inc();
+                let standing = self.gate.standing();
                 self.log.flow(now, &seg.flow, "refused", || {
-                    format!("{reason:?}, target {:?}", self.gate.standing())
+                    format!("{reason:?}, target {standing:?}, placed at {placed}")
                 });
-                self.send_to_caller(&seg.flow, packet::reset(&seg.flow, 0).to_vec()).await;
+                let message = FlowMessage::Refused { flow: seg.flow, placed };
+                self.handle.send(origin, Message::Flow(message));
             }
             Verdict::Drop => self.counters.dropped.inc(),
         }
     }
 
+    async fn deliver(&mut self, mut packet: Vec<u8>, mark: u32) {
+        packet::set_mark(&mut packet, mark);
+        self.counters.delivered.inc();
+        if !sockets::send(&self.outbound, packet, self.target).await {
+            self.counters.dropped.inc();
+        }
+    }
+
     fn log_delivery(&mut self, seg: &Segment, mark: u32, now: Timestamp) {
         if mark == 0 {
             return;
@@ -294,7 +303,9 @@
             FlowMessage::AskLoad => {
                 self.handle.send(from, Message::Load(self.report(now)));
             }
-            FlowMessage::Owner { .. } | FlowMessage::Missing { .. } => {}
+            FlowMessage::Owner { .. }
+            | FlowMessage::Missing { .. }
+            | FlowMessage::Refused { .. } => {}
         }
     }
 
@@ -368,7 +379,7 @@
         let Some((request, since)) = &self.stopping else { return };
         let heard = now.since(*since) >= STOP_MIN || self.gate.standing() == TargetStanding::Gone;
         if heard && self.gate.load(now).requests == 0 {
-            let _ = request.done.send(());
+            let _ = request.done.send(self.gate.standing());
             self.stopping = None;
         }
     }
@@ -380,7 +391,7 @@
                 let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
             }
             EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
-                self.heartbeat(id, &heartbeat);
+                self.heartbeat(&id, &heartbeat);
                 let _ = tx.send(Accepted::Yes);
             }
             EndpointCall::Target(TargetCall::Leave { id }, tx) => {
@@ -395,7 +406,7 @@
         }
     }
 
-    fn heartbeat(&mut self, id: String, heartbeat: &Heartbeat) {
+    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) {
         let known = self.run.as_ref().is_some_and(|run| run.id == id);
         let late = self
             .run
@@ -405,15 +416,15 @@
             return;
         }
         if !known {
-            self.new_run(&id, heartbeat);
+            self.new_run(id, heartbeat);
         }
-        self.run = Some(TargetRun { id: id.clone(), last_number: heartbeat.number });
+        self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
             TargetState::Draining => TargetStanding::Leaving,
         };
         let cause = format!("heartbeat {}", heartbeat.number);
-        self.set_standing(standing, heartbeat.slots, &id, &cause);
+        self.set_standing(standing, heartbeat.slots, id, &cause);
     }
 
     /// Takes in the first heartbeat of a run of the target.
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -31,7 +31,8 @@
     pub node: Node,
     readiness: Rc<Cell<Readiness>>,
     counters: BalancerCounters,
-    stop_limit: Duration,
+    /// How long a stop may take; a reload may change it.
+    pub stop_limit: Rc<Cell<Duration>>,
 }
 
 impl FlowBalancer {
@@ -73,7 +74,8 @@
         compio::runtime::spawn(task.run(loads, flows)).detach();
         Session::spawn(&node, config.control, settings.shortest_lease);
         RouteWatch::spawn(&node, config.watchers);
-        Ok(Self { node, readiness, counters, stop_limit: settings.stop_limit })
+        let stop_limit = Rc::new(Cell::new(settings.stop_limit));
+        Ok(Self { node, readiness, counters, stop_limit })
     }
 
     /// Stops as planned: is withdrawn by the routers, forwards what still comes, then ends.
@@ -83,7 +85,7 @@
         self.readiness.set(Readiness::Stopping);
         handle.leave();
         let started = handle.clock.now();
-        let limit = self.stop_limit.saturating_sub(STOP_MARGIN).max(WITHDRAWN_AFTER);
+        let limit = self.stop_limit.get().saturating_sub(STOP_MARGIN).max(WITHDRAWN_AFTER);
         compio::time::sleep(WITHDRAWN_AFTER).await;
         loop {
             let before = self.counters.packets.get();
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -1,16 +1,18 @@
 //! Takes the packets of callers and sends each to an agent.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compio::net::UdpSocket;
+use dillmill_core::generations::Generations;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    ProcessId, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+    RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -23,7 +25,13 @@
 use crate::sockets::{self, datagrams, ticks};
 
 /// Time between two looks at agents that do not answer.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
+/// A search that found nobody is repeated after this time: what was on its way between two agents
+/// has arrived by then.
+const SEARCH_AGAIN: Duration = Duration::from_millis(150);
+/// Packets kept while their owners are searched, and for how long.
+const KEPT_PACKETS: usize = 2000;
+const KEPT_FOR: Duration = Duration::from_secs(1);
 
 /// Whether the routers are to send packets to a balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +68,10 @@
     routes: Arc<RouteTable>,
     owners: OwnerCache,
     placement: FlowPlacement,
+    /// Packets whose owners are being searched.
+    kept: Generations<FlowTuple, Vec<u8>>,
+    /// Searches to be repeated, with their times.
+    again: VecDeque<(Timestamp, FlowTuple)>,
 }
 
 impl BalancerTask {
@@ -88,6 +100,8 @@
             routes: Arc::default(),
             owners: OwnerCache::default(),
             placement: FlowPlacement::default(),
+            kept: Generations::new(KEPT_FOR, KEPT_PACKETS),
+            again: VecDeque::new(),
         }
     }
 
@@ -112,7 +126,10 @@
                 Event::Packet(buf) => self.packet(&buf, now).await,
                 Event::Load(report) => self.placement.report(report),
                 Event::Flow(message) => self.message(message, now).await,
-                Event::Tick => self.tick(now),
+                Event::Tick => {
+                    self.tick(now);
+                    self.search_again(now).await;
+                }
             }
         }
     }
@@ -156,9 +173,8 @@
 
     async fn packet(&mut self, buf: &[u8], now: Timestamp) {
         self.counters.packets.inc();
-        let seg = match packet::decode(buf, Sender::Caller) {
-            Ok(seg) => seg,
-            Err(_) => return self.counters.dropped.inc(),
+        let Ok(seg) = packet::decode(buf, Sender::Caller) else {
+            return self.counters.dropped.inc();
         };
         let routes = self.routes.clone();
         let Some(route) = routes.get(seg.flow.route()) else {
@@ -208,18 +224,15 @@
             !self.placement.silent(owner.process, now)
                 && self.agents.serving(service).any(|a| a.process == owner.process)
         });
-        let (owner, near) = match again {
-            Some(owner) => (owner, true),
-            None => {
-                let not = before.map(|owner| owner.process);
-                match self.placement.place(&seg.flow, service, &self.agents, not, now) {
-                    Some(agent) => {
-                        let owner = Owner { process: agent.process, data: agent.data };
-                        (owner, agent.near)
-                    }
-                    None => return self.refuse(seg, service, now).await,
-                }
-            }
+        let (owner, near) = if let Some(owner) = again {
+            (owner, true)
+        } else {
+            let not = before.map(|owner| owner.process);
+            let Some(agent) = self.placement.place(&seg.flow, service, &self.agents, not, now)
+            else {
+                return self.refuse(seg, service, now).await;
+            };
+            (Owner { process: agent.process, data: agent.data }, agent.near)
         };
         self.counters.placed.inc();
         if !near {
@@ -257,15 +270,30 @@
         if let Some(owner) = known.filter(|owner| self.agents.get(owner.process).is_some()) {
             return self.send(service, Errand::Deliver, buf, owner.data).await;
         }
+        self.search(seg, service, services, buf, now).await;
+    }
+
+    /// Has the owner of a flow searched, and keeps the packet in case that finds nobody.
+    async fn search(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        now: Timestamp,
+    ) {
         self.counters.searched.inc();
         let Some(first) = self.agents.search_order(&seg.flow, services).first().map(|a| a.data)
         else {
             return self.counters.dropped.inc();
         };
         self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
-            format!("owner {} not known or gone", known.map_or(ProcessId(0), |o| o.process))
+            format!("owner not known or gone, {} agents", self.agents.iter().count())
         });
-        self.send(service, Errand::Search { step: 0 }, buf, first).await;
+        if seg.len > 0 {
+            self.kept.insert(seg.flow, buf.to_vec(), now);
+        }
+        self.send(service, Errand::Search { step: 0, sure: true }, buf, first).await;
     }
 
     async fn send(&self, service: ServiceTag, errand: Errand, packet: &[u8], to: SocketAddrV4) {
@@ -283,16 +311,43 @@
         sockets::send(&self.socket, packet::reset(flow, seq).to_vec(), to).await;
     }
 
+    /// Repeats the searches that found nobody: the caller's own next try may come too late.
+    async fn search_again(&mut self, now: Timestamp) {
+        while let Some((due, flow)) = self.again.front().copied()
+            && due <= now
+        {
+            self.again.pop_front();
+            let found = self.owners.get(&flow, now).is_some();
+            let Some(buf) = self.kept.remove(&flow).filter(|_| !found) else { continue };
+            let routes = self.routes.clone();
+            let Some(route) = routes.get(flow.route()) else { continue };
+            let Ok(seg) = packet::decode(&buf, Sender::Caller) else { continue };
+            let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
+            self.search(&seg, service, &route.services(), &buf, now).await;
+        }
+    }
+
     async fn message(&mut self, message: FlowMessage, now: Timestamp) {
         match message {
             FlowMessage::Owner { flow, owner, data } => {
                 self.owners.set(flow, Owner { process: owner, data }, now);
             }
             FlowMessage::Missing { flow, caller_expects } => {
-                if self.owners.missing(flow, now) {
-                    self.counters.missing.inc();
-                    self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
-                    self.reset(&flow, caller_expects).await;
+                if !self.owners.missing(flow, now) {
+                    self.again.push_back((now + SEARCH_AGAIN, flow));
+                    return;
+                }
+                self.counters.missing.inc();
+                self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
+                self.reset(&flow, caller_expects).await;
+            }
+            FlowMessage::Refused { flow, placed } => {
+                let owner = self.owners.get(&flow, now).map(|owner| owner.process);
+                if owner == Some(placed) {
+                    self.counters.refused.inc();
+                    self.log.flow(now, &flow, "reset", || format!("refused behind {placed}"));
+                    self.owners.forget(&flow);
+                    self.reset(&flow, 0).await;
                 }
             }
             FlowMessage::Records(_) | FlowMessage::AskLoad => {}
--- a/crates/dillmill-flow/src/config.rs
+++ b/crates/dillmill-flow/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a process from the settings that the platform gives it.
 
+use std::fmt::Write;
 use std::net::SocketAddrV4;
 
 use dillmill_core::{Secret, watch_duty};
@@ -22,7 +23,11 @@
     let control_port = settings.own_ports.0;
     let at = |port| SocketAddrV4::new(settings.ip, port);
     let digest = Sha256::digest(format!("dillmill {}", settings.store));
-    let key: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut key = String::new();
+    for byte in digest {
+        // Writing into a text can't fail.
+        let _ = write!(key, "{byte:02x}");
+    }
     ProcessConfig {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
--- a/crates/dillmill-flow/src/lib.rs
+++ b/crates/dillmill-flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`registrations`] | tells directories about the flows of a target |
 //! | [`session`] | the process's entry in the store, and who else is there |
 //! | [`route_watch`] | reads the operator's configuration |
+//! | [`reload`] | reads a changed settings file |
 //! | [`endpoints`] | readiness and heartbeats |
 //! | [`decision_log`] | one line a decision, bounded |
 
@@ -23,6 +24,7 @@
 pub mod endpoints;
 pub mod flow_metrics;
 pub mod registrations;
+pub mod reload;
 pub mod route_watch;
 pub mod session;
 pub mod sockets;
--- /dev/null
+++ b/crates/dillmill-flow/src/reload.rs
@@ -0,0 +1,87 @@
+//! Reads the settings file again when it changes.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use dillmill_core::EventKind;
+use dillmill_node::{Journal, hang_up::HangUps};
+use dillmill_platform::ProcessSettings;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
+/// How often the file's time is looked at: it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Watches the settings file of a process.
+///
+/// Good settings are taken over as far as a running process can; of the rest the log says that they
+/// need a restart. Wrong ones change nothing, and the log says what is wrong and where.
+pub struct Reload {
+    path: PathBuf,
+    current: ProcessSettings,
+    stop_limit: Rc<Cell<Duration>>,
+    journal: Journal,
+    read_at: Option<SystemTime>,
+}
+
+impl Reload {
+    /// Starts the task; `stop_limit` is replaced when the file gives another one.
+    pub fn spawn(
+        path: PathBuf,
+        current: ProcessSettings,
+        stop_limit: Rc<Cell<Duration>>,
+        journal: Journal,
+        hang_ups: HangUps,
+    ) {
+        let read_at = modified(&path);
+        let reload = Self { path, current, stop_limit, journal, read_at };
+        compio::runtime::spawn(reload.run(hang_ups)).detach();
+    }
+
+    async fn run(mut self, mut hang_ups: HangUps) {
+        loop {
+            let signalled = {
+                let signal = hang_ups.next();
+                let look = self.changed();
+                pin_mut!(signal, look);
+                matches!(select(signal, look).await, Either::Left(_))
+            };
+            self.read(if signalled { "signal" } else { "the file has changed" });
+        }
+    }
+
+    async fn changed(&self) {
+        loop {
+            compio::time::sleep(LOOK_EVERY).await;
+            if modified(&self.path) != self.read_at {
+                return;
+            }
+        }
+    }
+
+    fn read(&mut self, cause: &str) {
+        self.read_at = modified(&self.path);
+        let settings = match ProcessSettings::open(&self.path) {
+            Ok(settings) => settings,
+            Err(e) => {
+                let what = "settings file not used, the earlier settings stay";
+                return self.journal.record(EventKind::Settings, what, e.to_string());
+            }
+        };
+        self.stop_limit.set(settings.stop_limit);
+        let running = ProcessSettings { stop_limit: settings.stop_limit, ..self.current.clone() };
+        let what = if settings == running {
+            format!("settings file read: a stop may take {:?}", settings.stop_limit)
+        } else {
+            "settings file read; addresses, service or bounds in it need a restart".to_owned()
+        };
+        self.journal.record(EventKind::Settings, what, cause);
+        self.current = running;
+    }
+}
+
+fn modified(path: &PathBuf) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
--- a/crates/dillmill-flow/src/route_watch.rs
+++ b/crates/dillmill-flow/src/route_watch.rs
@@ -11,14 +11,16 @@
 use dillmill_platform::store_protocol::DOCUMENT_KEY;
 use dillmill_platform::{Entry, PlatformError, Store, Version, WatchOutcome, document};
 use error_stack::Report;
+use rand::Rng;
 
 /// Longest wait of one watch. A watch that is cut without a word is noticed by then at the latest;
 /// every watch that ends empty is a call that is paid for.
 const WATCH: Duration = Duration::from_secs(10);
 /// Wait between two events: changes that come faster are read as one.
 const GATHER: Duration = Duration::from_millis(100);
-/// How long a process that starts waits for its peers' routes before it reads the store.
-const PEERS_FIRST: Duration = Duration::from_millis(400);
+/// How long a process that starts waits for its peers' routes before it reads the store, at least and
+/// at most: when all start at once, the first to read passes the routes on before most others do.
+const PEERS_FIRST_MS: std::ops::Range<u64> = 50..400;
 /// Wait after a failed call.
 const RETRY: Duration = Duration::from_millis(300);
 /// How often a process without the duty looks whether it has it now.
@@ -52,7 +54,8 @@
     }
 
     async fn run(mut self) {
-        compio::time::sleep(PEERS_FIRST).await;
+        let patience = Duration::from_millis(rand::rng().random_range(PEERS_FIRST_MS));
+        compio::time::sleep(patience).await;
         loop {
             self.view = self.views.newer().or(self.view.take());
             let has_routes = self.view.as_ref().is_some_and(|view| view.routes.is_some());
@@ -131,7 +134,8 @@
     fn take(&self, entry: &Entry) {
         match document::decode(&entry.value) {
             Ok(routes) => {
-                self.handle.put_routes(format!("store version {}", entry.version), routes)
+                let source = format!("store version {}", entry.version);
+                self.handle.put_routes(source, routes);
             }
             Err(e) => {
                 let what = format!("configuration of store version {} not used", entry.version);
--- a/crates/dillmill-node/src/lib.rs
+++ b/crates/dillmill-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod framed;
 pub mod handle;
+pub mod hang_up;
 pub mod log_writer;
 pub mod logging;
 pub mod metrics;
--- a/crates/dillmill-wire/src/flow_message.rs
+++ b/crates/dillmill-wire/src/flow_message.rs
@@ -26,6 +26,13 @@
         /// Number of the byte that the caller expects next.
         caller_expects: u32,
     },
+    /// To a balancer: nobody can take the new flow.
+    Refused {
+        /// The flow.
+        flow: FlowTuple,
+        /// The agent to which the balancer gave it.
+        placed: ProcessId,
+    },
     /// To a directory: flows of the sender's target.
     Records(Vec<FlowRecord>),
     /// To an agent: report your load.
--- a/crates/dillmill/src/main.rs
+++ b/crates/dillmill/src/main.rs
@@ -1,12 +1,14 @@
 //! The `dillmill` program.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use dillmill::command::{self, Command, RoleCommand, Source};
 use dillmill::{Agent, Balancer, NodeError, ProcessConfig};
+use dillmill_flow::reload::Reload;
 use dillmill_flow::{FlowAgent, FlowBalancer};
 use dillmill_node::config::AgentConfig;
+use dillmill_node::hang_up::HangUps;
 use dillmill_node::{logging, stop};
 use dillmill_platform::ProcessSettings;
 use error_stack::Report;
@@ -75,22 +77,29 @@
     if check {
         return checked(&path);
     }
-    finish(run_flows(role, &settings, metrics_port).await)
+    let hang_ups = HangUps::register().await;
+    finish(run_flows(role, path, settings, metrics_port, hang_ups).await)
 }
 
 async fn run_flows(
     role: RoleCommand,
-    settings: &ProcessSettings,
+    path: PathBuf,
+    settings: ProcessSettings,
     metrics_port: Option<u16>,
+    hang_ups: HangUps,
 ) -> Result<(), Report<NodeError>> {
     match role {
         RoleCommand::Balancer => {
-            let balancer = FlowBalancer::spawn(settings, metrics_port).await?;
+            let balancer = FlowBalancer::spawn(&settings, metrics_port).await?;
+            let journal = balancer.node.handle.journal.clone();
+            Reload::spawn(path, settings, balancer.stop_limit.clone(), journal, hang_ups);
             stop::requested().await;
             stop_or_second(balancer.stop()).await
         }
         RoleCommand::Agent => {
-            let agent = FlowAgent::spawn(settings, metrics_port).await?;
+            let agent = FlowAgent::spawn(&settings, metrics_port).await?;
+            let journal = agent.node.handle.journal.clone();
+            Reload::spawn(path, settings, agent.stop_limit.clone(), journal, hang_ups);
             stop::requested().await;
             stop_or_second(agent.stop()).await
         }
