feat(flow): bound queues at targets, and spread flows when most agents are late

Change: silence costs 1.5 times the slots instead of everything; a target with three requests a slot refuses new flows at once; a process that has just started joins and compares more often; a balancer in its first two seconds waits for the copy instead of refusing.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -17,6 +17,9 @@
 
 /// Agents that may pass an opening packet on before the last one must decide.
 const PLACE_HOPS: usize = 3;
+/// Requests a slot beyond which a target gets no new flow: a request behind them would wait for two
+/// rounds, so that its answer came late in any case; refused at once, the caller can try elsewhere.
+const CROWDED: u32 = 3;
 /// Agents asked for the owner of a flow; more than the targets of any one service to come (9 on
 /// average) leave room for several.
 const SEARCH_STEPS: u8 = 64;
@@ -65,6 +68,8 @@
     NoTarget,
     /// The settings have no such route.
     NoRoute,
+    /// The targets asked have more to do than they can in time.
+    Crowded,
 }
 
 /// What is to be done with a packet.
@@ -319,13 +324,16 @@
             let refused = self.refuse(RefuseReason::NoTarget, env, passed);
             return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
         }
-        let full = self.load(now).requests >= u32::from(self.slots);
-        if full
+        let (requests, slots) = (self.load(now).requests, u32::from(self.slots));
+        if requests >= slots
             && passed.len() < PLACE_HOPS
             && let Some(verdict) = self.pass_on(arrival, service, passed, PassReason::Full)
         {
             return verdict;
         }
+        if requests >= slots * CROWDED {
+            return self.refuse(RefuseReason::Crowded, env, passed);
+        }
         self.flows.opening(seg.flow, copies, now);
         // The balancer knows only the agent that it chose itself.
         let tell = (!passed.is_empty()).then_some(env.origin);
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -12,8 +12,8 @@
 use crate::placement::LoadReport;
 use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
 
-/// An agent that has not answered for this long gets no new flows while others do: a report is due
-/// within [`REPORT_EVERY`] and a round trip, and a caller sends its first copy after 200 ms.
+/// An agent that has not answered for this long gets new flows only when the others are busy: a report
+/// is due within [`REPORT_EVERY`] and a round trip, and a caller sends its first copy after 200 ms.
 const ANSWER_LIMIT: Duration = Duration::from_millis(180);
 /// Time between two reports of an agent to one balancer.
 pub const REPORT_EVERY: Duration = Duration::from_millis(50);
@@ -22,6 +22,9 @@
 /// Load in use that a flow is sent to another data centre to avoid, in thousandths of the slots:
 /// one and a half of five slots. Bytes between data centres cost, a wait costs more.
 const FAR_PENALTY: u32 = 350;
+/// Load added to an agent that does not answer, in thousandths of its slots. Not without bound: after a
+/// restart of everything most agents are late, and all flows would meet at the one that is not.
+const SILENT_PENALTY: u32 = 1500;
 /// Load of an open flow that is at rest, in thousandths of a slot: one request of some 50 ms a
 /// second.
 const RESTING_FLOW: u32 = 50;
@@ -105,7 +108,7 @@
         now: Timestamp,
     ) -> Option<&'a AgentEntry> {
         let cost =
-            |a: &&AgentEntry| (self.silent(a.process, now), self.cost(a), flow.score(a.process.0));
+            |a: &&AgentEntry| (self.cost(a, now), flow.score(a.process.0));
         let open = || agents.serving(service).filter(|a| a.slots > 0);
         let best = open()
             .filter(|a| Some(a.process) != not)
@@ -118,12 +121,13 @@
         Some(best)
     }
 
-    fn cost(&self, agent: &AgentEntry) -> u32 {
+    fn cost(&self, agent: &AgentEntry, now: Timestamp) -> u32 {
         let far = if agent.near { 0 } else { FAR_PENALTY };
+        let silent = if self.silent(agent.process, now) { SILENT_PENALTY } else { 0 };
         let Some(load) = self.loads.get(&agent.process) else { return far };
         let report = load.report;
         let slots = u32::from(report.slots.0.max(1));
         let requests = u32::from(report.in_use) + u32::from(report.queued) + load.sent;
-        (requests * 1000 + report.flows * RESTING_FLOW) / slots + far
+        (requests * 1000 + report.flows * RESTING_FLOW) / slots + far + silent
     }
 }
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -36,6 +36,9 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(300);
 const REJOIN_INTERVAL: Duration = Duration::from_secs(3);
 const SYNC_INTERVAL: Duration = Duration::from_secs(20);
+/// A process that has just started knows few others: for this long it joins and compares more often.
+const YOUNG: Duration = Duration::from_secs(3);
+const YOUNG_SYNC_INTERVAL: Duration = Duration::from_millis(200);
 /// A tick that comes this late means that this process was paused, not that others were silent.
 const PAUSE: Duration = Duration::from_millis(800);
 const HELPERS: usize = 2;
@@ -79,6 +82,7 @@
     next_probe: Timestamp,
     next_revive: Timestamp,
     next_sync: Timestamp,
+    first_tick: Option<Timestamp>,
     last_tick: Option<Timestamp>,
     revision: Revision,
     wants_sync: Option<SocketAddrV4>,
@@ -104,6 +108,7 @@
             next_probe: Timestamp::default(),
             next_revive: Timestamp::default(),
             next_sync: Timestamp::default(),
+            first_tick: None,
             last_tick: None,
             revision: Revision::default(),
             wants_sync: None,
@@ -338,8 +343,8 @@
         if self.seeds.is_empty() || now < self.next_seed {
             return;
         }
-        let alone = self.fleet() <= 1;
-        self.next_seed = now + if alone { JOIN_INTERVAL } else { REJOIN_INTERVAL };
+        let joining = self.fleet() <= 1 || self.is_young(now);
+        self.next_seed = now + if joining { JOIN_INTERVAL } else { REJOIN_INTERVAL };
         let seed = self.seeds[draw(self.seeds.len())];
         let known = self.others().any(|m| m.control == seed && m.status != MemberStatus::Down);
         if !known {
@@ -347,7 +352,12 @@
         }
     }
 
+    fn is_young(&self, now: Timestamp) -> bool {
+        self.first_tick.is_none_or(|first| now.since(first) < YOUNG)
+    }
+
     fn forgive_pause(&mut self, now: Timestamp) {
+        self.first_tick.get_or_insert(now);
         let paused = self.last_tick.is_some_and(|last| now.since(last) > PAUSE);
         self.last_tick = Some(now);
         if paused {
@@ -532,7 +542,8 @@
     fn compare(&mut self, from: SocketAddrV4, digest: Digest, now: Timestamp) {
         self.retire_others_at(from, digest.process, now);
         if digest.members != self.hash && now >= self.next_sync {
-            self.next_sync = now + SYNC_INTERVAL;
+            let young = self.is_young(now);
+            self.next_sync = now + if young { YOUNG_SYNC_INTERVAL } else { SYNC_INTERVAL };
             self.wants_sync = Some(from);
         }
     }
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -166,6 +166,13 @@
     let passed = envelope(Errand::Place { passed: vec![ProcessId(2), ProcessId(3)] });
     let verdict = arrived(&mut gate, &open(6), &passed, known);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+    // With three requests a slot the answer would come too late.
+    for port in 7..=15 {
+        arrived(&mut gate, &open(port), &passed, known);
+    }
+    let verdict = arrived(&mut gate, &open(16), &passed, known);
+    let (reason, origin, placed) = (RefuseReason::Crowded, control(9), ProcessId(2));
+    assert_eq!(verdict, Verdict::Refuse { reason, origin, placed });
 }
 
 /// A stale balancer must not bring a flow to a service that newer settings took the route from.
--- a/crates/dillmill-core/tests/flow_placements.rs
+++ b/crates/dillmill-core/tests/flow_placements.rs
@@ -139,3 +139,21 @@
     }
     assert_eq!(owners.len(), 1);
 }
+
+/// After a restart of everything most agents are late with their reports: flows must not all meet at
+/// the one that is not.
+#[test]
+fn silence_of_most_does_not_crowd_the_rest() {
+    let agents = table(&["near"; 4]);
+    let mut placement = placement(&agents);
+    for port in 0..4 {
+        placed(&mut placement, &agents, port, NOW);
+    }
+    placement.report(report(4, 1));
+    let later = NOW + Duration::from_millis(300);
+    let mut counts = [0; 5];
+    for port in 0..100 {
+        counts[usize::try_from(placed(&mut placement, &agents, port, later)).unwrap()] += 1;
+    }
+    assert!(counts[4] < 40, "{counts:?}");
+}
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -26,6 +26,8 @@
 
 /// Time between two looks at agents that do not answer.
 const TICK: Duration = Duration::from_millis(50);
+/// For this long after its start a balancer may not know all agents.
+const YOUNG: Duration = Duration::from_secs(2);
 /// A search that found nobody is repeated after this time: what was on its way between two agents
 /// has arrived by then.
 const SEARCH_AGAIN: Duration = Duration::from_millis(150);
@@ -68,6 +70,7 @@
     routes: Arc<RouteTable>,
     owners: OwnerCache,
     placement: FlowPlacement,
+    started: Timestamp,
     /// Packets whose owners are being searched.
     kept: Generations<FlowTuple, Vec<u8>>,
     /// Searches to be repeated, with their times.
@@ -85,7 +88,8 @@
         counters: BalancerCounters,
         readiness: Rc<Cell<Readiness>>,
     ) -> Self {
-        let log = DecisionLog::new(handle.journal.clone(), handle.clock.now());
+        let now = handle.clock.now();
+        let log = DecisionLog::new(handle.journal.clone(), now);
         Self {
             views: handle.views(),
             handle,
@@ -100,6 +104,7 @@
             routes: Arc::default(),
             owners: OwnerCache::default(),
             placement: FlowPlacement::default(),
+            started: now,
             kept: Generations::new(KEPT_FOR, KEPT_PACKETS),
             again: VecDeque::new(),
         }
@@ -247,9 +252,9 @@
     }
 
     /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
-    /// balancer that knows no agent at all has only just started, and waits for the copy instead.
+    /// balancer that has only just started may not know all agents yet, and waits for the copy.
     async fn refuse(&mut self, seg: &Segment, service: ServiceTag, now: Timestamp) {
-        if self.agents.iter().next().is_none() {
+        if now.since(self.started) < YOUNG {
             return self.counters.dropped.inc();
         }
         self.counters.refused.inc();
