fix(flow): search by score, repeat sooner, and say when a search can't be sure

Cause: the order of search counted agents, so that two processes with different views could leave the owner out; and a flow that had died with its target was found dead only after 200 to 400 ms, too late for the aim of its caller's next request. Change: a search goes on behind the score of the agent that has the packet; a process that has just started says it is not sure until a peer holds the same records; the second search follows after 50 ms instead of 150 ms, on its own timer.

--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use crate::envelope::SearchPlace;
 use crate::{FlowTuple, Member, MemberStatus, ProcessId, Role, ServiceTag, ZoneName};
 
 /// Agents that remember the owner of a flow besides the owner itself.
@@ -90,24 +91,36 @@
         best.into_iter().map(|(_, agent)| agent).collect()
     }
 
-    /// Returns the agents to ask for the owner of `flow`, in order: first those that remember it,
-    /// then each agent of `services`, whose target may hold it.
+    /// Returns where the search for the owner of `flow` goes on behind `place`, other than to `me`: first
+    /// to the directories, then to each agent of `services`, whose target may hold it.
     ///
     /// Agents that are suspect are left out: a packet sent there would end the search.
     #[must_use]
-    pub fn search_order(&self, flow: &FlowTuple, services: &[ServiceTag]) -> Vec<&AgentEntry> {
-        let mut order = self.directory(flow);
-        let known: Vec<ProcessId> = order.iter().map(|a| a.process).collect();
-        let mut rest: Vec<(u64, &AgentEntry)> = self
-            .agents
+    pub fn next_in_search(
+        &self,
+        flow: &FlowTuple,
+        services: &[ServiceTag],
+        place: Option<SearchPlace>,
+        me: Option<ProcessId>,
+    ) -> Option<(SearchPlace, &AgentEntry)> {
+        let (next_directory, below) = match place {
+            None => (0, None),
+            Some(SearchPlace::Directory(i)) => (usize::from(i) + 1, None),
+            Some(SearchPlace::Holder(score)) => (DIRECTORY_COPIES, Some(score)),
+        };
+        let directories = self.directory(flow).into_iter().enumerate().skip(next_directory);
+        let mut directories = directories.filter(|(_, a)| Some(a.process) != me);
+        if let Some((i, agent)) = directories.next() {
+            return Some((SearchPlace::Directory(u8::try_from(i).unwrap_or(0)), agent));
+        }
+        self.agents
             .iter()
-            .filter(|a| a.status < MemberStatus::Suspect)
-            .filter(|a| services.contains(&a.service) && !known.contains(&a.process))
+            .filter(|a| a.status < MemberStatus::Suspect && services.contains(&a.service))
+            .filter(|a| Some(a.process) != me)
             .map(|a| (flow.score(address_seed(a.control)), a))
-            .collect();
-        rest.sort_by(|(a, _), (b, _)| b.cmp(a));
-        order.extend(rest.into_iter().map(|(_, agent)| agent));
-        order
+            .filter(|(score, _)| below.is_none_or(|below| *score < below))
+            .max_by_key(|(score, _)| *score)
+            .map(|(score, agent)| (SearchPlace::Holder(score), agent))
     }
 
     /// Returns whether an agent of `services` is suspect, so that a search may have missed it.
--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -17,23 +17,38 @@
     /// It belongs to a flow that the sender takes for the agent's.
     Deliver,
     /// It belongs to a flow whose owner the sender does not know.
-    Search {
-        /// Place of the agent in the order of search.
-        step: u8,
-        /// Every agent so far could tell that its target does not hold the flow.
-        sure: bool,
-    },
+    Search(Search),
     /// A directory, or an agent that has passed the flow on, says that the agent owns it.
     Directed {
-        /// Place in the order of search where the search goes on if that is wrong.
-        step: u8,
-        /// As in [`Errand::Search`].
-        sure: bool,
+        /// Where the search goes on if that is wrong.
+        search: Search,
         /// How often the packet was directed already.
         times: u8,
     },
 }
 
+/// How far the search for the owner of a flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Search {
+    /// The agent that has the packet, or had it last, in the order of search.
+    pub place: SearchPlace,
+    /// Agents that have had the packet.
+    pub steps: u8,
+    /// Each of them could tell that its target does not hold the flow.
+    pub sure: bool,
+}
+
+/// A place in the order of search.
+///
+/// It does not count agents, since two processes may know different ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearchPlace {
+    /// This one of the flow's directories.
+    Directory(u8),
+    /// The agent with this score among those whose targets may hold the flow.
+    Holder(u64),
+}
+
 /// Stands before a packet between two processes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Envelope {
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::agent_table::{AgentEntry, AgentTable};
-use crate::envelope::{Envelope, Errand};
+use crate::envelope::{Envelope, Errand, Search, SearchPlace};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
@@ -115,38 +115,43 @@
     Drop,
 }
 
-/// How far the search for a flow's owner has come.
+/// How a packet of an open flow came here.
 #[derive(Debug, Clone, Copy)]
-struct SearchState {
-    /// Place in the order of search where it goes on.
-    next: u8,
-    /// Every agent so far could tell.
-    sure: bool,
+struct Lookup {
+    /// The search so far, if one has begun.
+    search: Option<Search>,
     /// How often the packet was sent where a record said.
     directed: u8,
-    /// The balancer does not know that the flow is here.
-    told_by_others: bool,
 }
 
-impl From<&Errand> for SearchState {
-    fn from(errand: &Errand) -> Self {
-        let start = Self { next: 0, sure: true, directed: 0, told_by_others: false };
-        match *errand {
-            Errand::Place { .. } | Errand::Deliver => start,
-            Errand::Search { step, sure } => {
-                Self { next: step.saturating_add(1), sure, told_by_others: true, ..start }
-            }
-            Errand::Directed { step, sure, times } => {
-                Self { next: step, sure, directed: times, told_by_others: true }
-            }
-        }
+impl Lookup {
+    fn place(&self) -> Option<SearchPlace> {
+        self.search.map(|search| search.place)
+    }
+
+    fn sure(&self) -> bool {
+        self.search.is_none_or(|search| search.sure)
+    }
+
+    fn steps(&self) -> u8 {
+        self.search.map_or(0, |search| search.steps)
+    }
+
+    /// One of the agents asked can't tell whether its target holds the flow.
+    fn unsure(mut self) -> Self {
+        let start = Search { place: SearchPlace::Directory(0), steps: 0, sure: false };
+        self.search = Some(Search { sure: false, ..self.search.unwrap_or(start) });
+        self
     }
 }
 
-fn errand_step(errand: &Errand) -> u8 {
-    match errand {
-        Errand::Search { step, .. } | Errand::Directed { step, .. } => *step,
-        Errand::Place { .. } | Errand::Deliver => 0,
+impl From<&Errand> for Lookup {
+    fn from(errand: &Errand) -> Self {
+        match *errand {
+            Errand::Place { .. } | Errand::Deliver => Self { search: None, directed: 0 },
+            Errand::Search(search) => Self { search: Some(search), directed: 0 },
+            Errand::Directed { search, times } => Self { search: Some(search), directed: times },
+        }
     }
 }
 
@@ -166,6 +171,8 @@
     pub agents: &'a AgentTable,
     /// Routes in force.
     pub routes: &'a RouteTable,
+    /// The agents are all there are, as far as can be told: not so in the first moments of a process.
+    pub settled: bool,
 }
 
 /// A packet, what came with it, and what is known at that moment.
@@ -374,38 +381,41 @@
     }
 
     /// Decides on a packet of a flow that should be open somewhere.
-    fn find(&mut self, arrival: Arrival<'_>, search: SearchState) -> Verdict {
-        let Arrival { seg, env, now, .. } = arrival;
+    fn find(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
+        let Arrival { seg, env, known, now } = arrival;
         let fit = self.flows.note_caller(seg, now);
         if fit == Fit::Ours {
-            let tell = search.told_by_others.then_some(env.origin);
-            return Verdict::Deliver { mark: 0, tell };
+            let told_by_others = lookup.search.is_some();
+            return Verdict::Deliver { mark: 0, tell: told_by_others.then_some(env.origin) };
         }
-        if let Some(verdict) = self.direct(arrival, search) {
+        if let Some(verdict) = self.direct(arrival, lookup) {
             return verdict;
         }
+        let lookup = if known.settled { lookup } else { lookup.unsure() };
         let blind = !self.sees_all && now.since(self.started) < ALL_FLOWS_SEEN;
         let may_hold = fit == Fit::Unknown
             && blind
             && self.standing != TargetStanding::Gone
             && arrival.services().contains(&self.service);
         if !may_hold {
-            return self.search_on(arrival, search);
+            return self.search_on(arrival, lookup);
         }
         if self.standing == TargetStanding::Unknown {
             // Nothing tells yet whether there is a target that could give the packet back.
-            let unsure = SearchState { sure: false, ..search };
-            return Verdict::Try { onward: Box::new(self.search_on(arrival, unsure)) };
+            return Verdict::Try { onward: Box::new(self.search_on(arrival, lookup.unsure())) };
         }
-        let errand = Errand::Search { step: search.next, sure: search.sure };
+        let errand = match lookup.search {
+            Some(search) => Errand::Search(search),
+            None => Errand::Deliver,
+        };
         let mark = self.begin_trial(Envelope { errand, ..env.clone() });
         Verdict::Deliver { mark, tell: None }
     }
 
     /// Passes a packet to the agent that a record names as the owner of its flow.
-    fn direct(&mut self, arrival: Arrival<'_>, search: SearchState) -> Option<Verdict> {
+    fn direct(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Option<Verdict> {
         let Arrival { seg, env, known, now } = arrival;
-        if search.directed >= DIRECTIONS {
+        if lookup.directed >= DIRECTIONS {
             return None;
         }
         let record = self.directory.owner(&seg.flow, seg.ack, now)?;
@@ -413,31 +423,28 @@
         if record.data == self.data || !alive {
             return None;
         }
-        let errand =
-            Errand::Directed { step: search.next, sure: search.sure, times: search.directed + 1 };
+        let start = Search { place: SearchPlace::Directory(0), steps: 0, sure: true };
+        let search = lookup.search.unwrap_or(start);
+        let errand = Errand::Directed { search, times: lookup.directed + 1 };
         let envelope = Envelope { errand, ..env.clone() };
         Some(Verdict::Pass { to: record.data, envelope, reason: PassReason::Directed })
     }
 
     /// Sends a packet to the next agent in the order of search.
-    fn search_on(&self, arrival: Arrival<'_>, search: SearchState) -> Verdict {
+    fn search_on(&self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
         let Arrival { seg, env, known, .. } = arrival;
         let services = arrival.services();
-        let order = known.agents.search_order(&seg.flow, &services);
-        let next = order
-            .iter()
-            .enumerate()
-            .skip(usize::from(search.next))
-            .take_while(|(i, _)| *i < usize::from(SEARCH_STEPS))
-            .find(|(_, a)| a.process != self.me);
+        let me = Some(self.me);
+        let next = (lookup.steps() < SEARCH_STEPS)
+            .then(|| known.agents.next_in_search(&seg.flow, &services, lookup.place(), me))
+            .flatten();
         match next {
-            Some((i, agent)) => {
-                let step = u8::try_from(i).unwrap_or(SEARCH_STEPS);
-                let errand = Errand::Search { step, sure: search.sure };
-                let envelope = Envelope { errand, ..env.clone() };
+            Some((place, agent)) => {
+                let search = Search { place, steps: lookup.steps() + 1, sure: lookup.sure() };
+                let envelope = Envelope { errand: Errand::Search(search), ..env.clone() };
                 Verdict::Pass { to: agent.data, envelope, reason: PassReason::Search }
             }
-            None if search.sure && !known.agents.any_suspect(&services) => {
+            None if lookup.sure() && !known.agents.any_suspect(&services) => {
                 Verdict::Missing { origin: env.origin }
             }
             None => Verdict::Drop,
@@ -476,10 +483,10 @@
                 }
                 self.pass_on(arrival, env.service, passed, reason).unwrap_or(refused)
             }
-            (errand @ Errand::Search { .. }, kind) if !matches!(kind, SegmentKind::Open { .. }) => {
-                // The trial has already counted the step on which the search goes on.
-                let search = SearchState { next: errand_step(errand), ..errand.into() };
-                self.search_on(arrival, search)
+            (errand @ (Errand::Search(_) | Errand::Deliver), kind)
+                if !matches!(kind, SegmentKind::Open { .. }) =>
+            {
+                self.search_on(arrival, errand.into())
             }
             _ => Verdict::Drop,
         }
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -107,8 +107,7 @@
         not: Option<ProcessId>,
         now: Timestamp,
     ) -> Option<&'a AgentEntry> {
-        let cost =
-            |a: &&AgentEntry| (self.cost(a, now), flow.score(a.process.0));
+        let cost = |a: &&AgentEntry| (self.cost(a, now), flow.score(a.process.0));
         let open = || agents.serving(service).filter(|a| a.slots > 0);
         let best = open()
             .filter(|a| Some(a.process) != not)
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -83,6 +83,8 @@
     next_revive: Timestamp,
     next_sync: Timestamp,
     first_tick: Option<Timestamp>,
+    /// The last peer that was compared with held the same records.
+    agrees: bool,
     last_tick: Option<Timestamp>,
     revision: Revision,
     wants_sync: Option<SocketAddrV4>,
@@ -109,6 +111,7 @@
             next_revive: Timestamp::default(),
             next_sync: Timestamp::default(),
             first_tick: None,
+            agrees: false,
             last_tick: None,
             revision: Revision::default(),
             wants_sync: None,
@@ -175,6 +178,14 @@
         self.entries.get(&process).map(|e| (e.member.status, now.since(e.since)))
     }
 
+    /// Returns whether the view holds all processes, as far as can be told.
+    ///
+    /// A process that has just started can tell once a peer holds the same records.
+    #[must_use]
+    pub fn settled(&self, now: Timestamp) -> bool {
+        self.agrees || !self.is_young(now)
+    }
+
     /// Returns a number that grows with every change of the view.
     #[must_use]
     pub fn generation(&self) -> u64 {
@@ -541,6 +552,7 @@
 
     fn compare(&mut self, from: SocketAddrV4, digest: Digest, now: Timestamp) {
         self.retire_others_at(from, digest.process, now);
+        self.agrees = digest.members == self.hash;
         if digest.members != self.hash && now >= self.next_sync {
             let young = self.is_young(now);
             self.next_sync = now + if young { YOUNG_SYNC_INTERVAL } else { SYNC_INTERVAL };
--- a/crates/dillmill-core/src/owner_cache.rs
+++ b/crates/dillmill-core/src/owner_cache.rs
@@ -11,8 +11,9 @@
 /// How long an unused entry is kept at least: longer than any sensible idle time-out of a flow.
 const OWNER_LIFETIME: Duration = Duration::from_secs(20);
 /// A second proof that nobody holds a flow counts only this much later than the first, so that one
-/// search that met a stale view breaks nothing; callers send again after 200 ms.
-const MISSING_AGAIN: Duration = Duration::from_millis(150);
+/// search that met a stale view breaks nothing: news of agents takes some 10 ms, a record of a new flow
+/// up to 50 ms.
+pub const MISSING_AGAIN: Duration = Duration::from_millis(50);
 
 /// What a balancer remembers of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -6,7 +6,8 @@
 use dillmill_core::flow_gate::{Known, PassReason, RefuseReason, TargetStanding, Verdict};
 use dillmill_core::{
     AgentTable, Envelope, Errand, FlowGate, FlowTuple, Member, MemberStatus, ProcessId, Revision,
-    Role, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, Weight,
+    Role, RouteEntry, RouteTable, Search, SearchPlace, Segment, SegmentKind, ServiceTag, Timestamp,
+    Weight,
 };
 use rstest::rstest;
 
@@ -80,6 +81,10 @@
     Envelope { service: tag("orders"), revision: Revision(1), origin: control(9), errand }
 }
 
+fn search(place: SearchPlace) -> Errand {
+    Errand::Search(Search { place, steps: 1, sure: true })
+}
+
 fn place() -> Envelope {
     envelope(Errand::Place { passed: Vec::new() })
 }
@@ -111,13 +116,13 @@
 #[test]
 fn new_flow_delivered_and_found() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
     assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: None });
     let verdict =
-        arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0, sure: true }), known);
+        arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Directory(0))), known);
     assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: Some(control(9)) });
 }
 
@@ -126,7 +131,7 @@
 #[case::gone(TargetStanding::Gone)]
 fn leaving_target_gets_nothing_new(#[case] standing: TargetStanding) {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     gate.set_standing(standing, 5);
@@ -145,7 +150,7 @@
 fn last_leaving_target_refuses() {
     let agents = agents(&[member(1, "orders", MemberStatus::Leaving)]);
     let routes = routes(1, "orders");
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     gate.set_standing(TargetStanding::Leaving, 5);
     let verdict = arrived(&mut gate, &open(1), &place(), known);
@@ -156,7 +161,7 @@
 #[test]
 fn full_target_passes_on_but_not_for_ever() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     for port in 1..=5 {
         open_flow(&mut gate, port, known);
@@ -181,7 +186,7 @@
     let members =
         [member(1, "orders", MemberStatus::Serving), member(2, "labels", MemberStatus::Serving)];
     let (agents, routes) = (agents(&members), routes(2, "labels"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let verdict = arrived(&mut gate(), &open(1), &place(), known);
     let Verdict::Pass { to, envelope, reason } = verdict else { panic!("{verdict:?}") };
     assert_eq!((to, reason), (data(2), PassReason::OtherService));
@@ -191,7 +196,7 @@
 #[test]
 fn newer_settings_without_the_route_refuse() {
     let (agents, routes) = (three(), RouteTable::new(Revision(2), []));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let verdict = arrived(&mut gate(), &open(1), &place(), known);
     let (origin, placed) = (control(9), ProcessId(1));
     assert_eq!(verdict, Verdict::Refuse { reason: RefuseReason::NoRoute, origin, placed });
@@ -200,11 +205,10 @@
 #[test]
 fn other_service_never_delivered() {
     let (agents, routes) = (three(), routes(1, "labels"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let env = Envelope { service: tag("labels"), ..place() };
     assert_eq!(arrived(&mut gate(), &open(1), &env, known), Verdict::Drop);
-    let env =
-        Envelope { service: tag("labels"), ..envelope(Errand::Search { step: 0, sure: true }) };
+    let env = Envelope { service: tag("labels"), ..envelope(search(SearchPlace::Directory(0))) };
     let verdict = arrived(&mut restarted_gate(), &request(1), &env, known);
     assert!(!matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
 }
@@ -213,7 +217,7 @@
 #[rstest]
 fn search_finds_owner(#[values(1, 2, 3, 4, 5, 6, 7, 8)] port: u16) {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gates: Vec<FlowGate> = (1..=3)
         .map(|n| {
             let mut gate = FlowGate::new(ProcessId(u64::from(n)), data(n), tag("orders"), NOW);
@@ -231,8 +235,9 @@
     for directory in agents.directory(&flow(port)) {
         gates[usize::try_from(directory.process.0).unwrap() - 1].register(record, NOW);
     }
-    let mut at = agents.search_order(&flow(port), &[tag("orders")])[0].data;
-    let mut env = envelope(Errand::Search { step: 0, sure: true });
+    let first = agents.next_in_search(&flow(port), &[tag("orders")], None, None).unwrap();
+    let mut at = first.1.data;
+    let mut env = envelope(search(first.0));
     for _ in 0..4 {
         let n = usize::from(at.ip().octets()[3]) - 1;
         match gates[n].arrived(&request(port), &env, known, NOW) {
@@ -247,8 +252,8 @@
 #[test]
 fn flow_of_nobody_is_missing() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
-    let last = envelope(Errand::Search { step: 2, sure: true });
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let last = envelope(search(SearchPlace::Holder(0)));
     let verdict = arrived(&mut gate(), &request(1), &last, known);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
 }
@@ -259,8 +264,8 @@
     let mut members = [1, 2, 3].map(|n| member(n, "orders", MemberStatus::Serving));
     members[2].status = MemberStatus::Suspect;
     let (agents, routes) = (agents(&members), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
-    let last = envelope(Errand::Search { step: 1, sure: true });
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let last = envelope(search(SearchPlace::Holder(0)));
     assert_eq!(arrived(&mut gate(), &request(1), &last, known), Verdict::Drop);
 }
 
@@ -268,10 +273,10 @@
 #[test]
 fn restarted_agent_asks_its_target() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = restarted_gate();
     let verdict =
-        arrived(&mut gate, &request(1), &envelope(Errand::Search { step: 0, sure: true }), known);
+        arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Directory(0))), known);
     let Verdict::Deliver { mark, tell: None } = verdict else { panic!("{verdict:?}") };
     assert_ne!(mark, 0);
     let back = Segment { returned: true, mark, ..request(1) };
@@ -286,7 +291,7 @@
 #[test]
 fn returned_opening_goes_to_a_sibling() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     let Verdict::Deliver { mark, .. } = arrived(&mut gate, &open(1), &place(), known) else {
         panic!("not delivered")
@@ -300,7 +305,7 @@
 #[test]
 fn caller_of_another_target_is_not_ours() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     let other = Segment { ack: TARGET_SEQ.wrapping_sub(70_000), ..request(1) };
@@ -311,7 +316,7 @@
 #[test]
 fn new_target_holds_no_flow() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     gate.new_target(tag("orders"));
@@ -322,7 +327,7 @@
 #[test]
 fn requests_counted_until_answered() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
@@ -338,7 +343,7 @@
 #[test]
 fn passed_on_flow_followed() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     gate.set_standing(TargetStanding::Leaving, 5);
     let Verdict::Pass { to, envelope: env, .. } = arrived(&mut gate, &open(1), &place(), known)
@@ -362,9 +367,49 @@
 #[test]
 fn unheard_target_leaves_it_open() {
     let (agents, routes) = (three(), routes(1, "orders"));
-    let known = Known { agents: &agents, routes: &routes };
+    let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
-    let last = envelope(Errand::Search { step: 2, sure: true });
+    let last = envelope(search(SearchPlace::Holder(0)));
     let verdict = arrived(&mut gate, &request(1), &last, known);
     assert_eq!(verdict, Verdict::Try { onward: Box::new(Verdict::Drop) });
 }
+
+/// A process that has just started may not know all agents: what it has not found may still be there.
+#[test]
+fn unsettled_view_leaves_it_open() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: false };
+    let last = envelope(search(SearchPlace::Holder(0)));
+    assert_eq!(arrived(&mut gate(), &request(1), &last, known), Verdict::Drop);
+}
+
+/// Two agents with different views: the walk leaves out only an agent that the one before it does not
+/// know, never one that merely stands at another place.
+#[test]
+fn search_goes_by_score_not_by_count() {
+    let all = agents(&[1, 2, 3, 4, 5].map(|n| member(n, "orders", MemberStatus::Serving)));
+    let services = [tag("orders")];
+    for port in 0..50 {
+        let mut asked = Vec::new();
+        let mut place = None;
+        while let Some((next, agent)) = all.next_in_search(&flow(port), &services, place, None) {
+            asked.push(agent.process.0);
+            // Whoever is asked does not know one agent that was asked before.
+            let fewer: Vec<Member> = (1..=5_u8)
+                .filter(|n| u64::from(*n) != asked[0])
+                .map(|n| member(n, "orders", MemberStatus::Serving))
+                .collect();
+            let there = agents(&fewer);
+            place = Some(next);
+            if let (SearchPlace::Holder(_), Some((onward, agent))) =
+                (next, there.next_in_search(&flow(port), &services, place, None))
+            {
+                asked.push(agent.process.0);
+                place = Some(onward);
+            }
+        }
+        asked.sort_unstable();
+        asked.dedup();
+        assert_eq!(asked, [1, 2, 3, 4, 5], "flow {port}");
+    }
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -79,6 +79,7 @@
     service: ServiceName,
     agents: AgentTable,
     routes: Arc<RouteTable>,
+    settled: bool,
     registrations: Registrations,
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
@@ -113,6 +114,7 @@
             service,
             agents: AgentTable::default(),
             routes: Arc::default(),
+            settled: false,
             registrations: Registrations::default(),
             origins: HashMap::new(),
             run: None,
@@ -152,6 +154,7 @@
     }
 
     fn take_view(&mut self, view: &View) {
+        self.settled = view.settled;
         let agents = AgentTable::new(view.members.iter(), &self.zone);
         if agents != self.agents {
             self.registrations.moved(self.gate.records(), &self.agents, &agents);
@@ -174,7 +177,7 @@
         if matches!(envelope.errand, Errand::Place { .. }) {
             self.note_origin(envelope.origin, now);
         }
-        let known = Known { agents: &self.agents, routes: &self.routes };
+        let known = Known { agents: &self.agents, routes: &self.routes, settled: self.settled };
         let verdict = self.gate.arrived(&seg, &envelope, known, now);
         self.carry_out(verdict, &seg, packet.to_vec(), now).await;
     }
@@ -183,7 +186,7 @@
         let returned = packet::decode(&buf, Sender::Caller).ok().filter(|seg| seg.returned);
         if let Some(seg) = returned {
             self.counters.returned.inc();
-            let known = Known { agents: &self.agents, routes: &self.routes };
+            let known = Known { agents: &self.agents, routes: &self.routes, settled: self.settled };
             let verdict = self.gate.returned(&seg, known, now);
             return self.carry_out(verdict, &seg, buf, now).await;
         }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -1,7 +1,6 @@
 //! Takes the packets of callers and sends each to an agent.
 
 use std::cell::Cell;
-use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,10 +8,11 @@
 
 use compio::net::UdpSocket;
 use dillmill_core::generations::Generations;
+use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+    RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -25,12 +25,9 @@
 use crate::sockets::{self, datagrams, ticks};
 
 /// Time between two looks at agents that do not answer.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// For this long after its start a balancer may not know all agents.
 const YOUNG: Duration = Duration::from_secs(2);
-/// A search that found nobody is repeated after this time: what was on its way between two agents
-/// has arrived by then.
-const SEARCH_AGAIN: Duration = Duration::from_millis(150);
 /// Packets kept while their owners are searched, and for how long.
 const KEPT_PACKETS: usize = 2000;
 const KEPT_FOR: Duration = Duration::from_secs(1);
@@ -52,6 +49,8 @@
     Packet(Vec<u8>),
     Load(LoadReport),
     Flow(FlowMessage),
+    /// The search for this flow's owner is to be repeated.
+    Again(FlowTuple),
     Tick,
 }
 
@@ -73,8 +72,8 @@
     started: Timestamp,
     /// Packets whose owners are being searched.
     kept: Generations<FlowTuple, Vec<u8>>,
-    /// Searches to be repeated, with their times.
-    again: VecDeque<(Timestamp, FlowTuple)>,
+    again: flume::Sender<FlowTuple>,
+    repeated: flume::Receiver<FlowTuple>,
 }
 
 impl BalancerTask {
@@ -89,6 +88,7 @@
         readiness: Rc<Cell<Readiness>>,
     ) -> Self {
         let now = handle.clock.now();
+        let (again, repeated) = flume::unbounded();
         let log = DecisionLog::new(handle.journal.clone(), now);
         Self {
             views: handle.views(),
@@ -106,7 +106,8 @@
             placement: FlowPlacement::default(),
             started: now,
             kept: Generations::new(KEPT_FOR, KEPT_PACKETS),
-            again: VecDeque::new(),
+            again,
+            repeated,
         }
     }
 
@@ -120,6 +121,7 @@
             datagrams(self.socket.clone()).map(Event::Packet).boxed_local(),
             loads.into_stream().map(|(_, report)| Event::Load(report)).boxed_local(),
             flows.into_stream().map(|(_, message)| Event::Flow(message)).boxed_local(),
+            self.repeated.clone().into_stream().map(Event::Again).boxed_local(),
             ticks(TICK).map(|()| Event::Tick).boxed_local(),
         ]);
         while let Some(event) = events.next().await {
@@ -131,10 +133,8 @@
                 Event::Packet(buf) => self.packet(&buf, now).await,
                 Event::Load(report) => self.placement.report(report),
                 Event::Flow(message) => self.message(message, now).await,
-                Event::Tick => {
-                    self.tick(now);
-                    self.search_again(now).await;
-                }
+                Event::Again(flow) => self.search_again(flow, now).await,
+                Event::Tick => self.tick(now),
             }
         }
     }
@@ -288,7 +288,8 @@
         now: Timestamp,
     ) {
         self.counters.searched.inc();
-        let Some(first) = self.agents.search_order(&seg.flow, services).first().map(|a| a.data)
+        let Some((place, first)) =
+            self.agents.next_in_search(&seg.flow, services, None, None).map(|(p, a)| (p, a.data))
         else {
             return self.counters.dropped.inc();
         };
@@ -298,7 +299,8 @@
         if seg.len > 0 {
             self.kept.insert(seg.flow, buf.to_vec(), now);
         }
-        self.send(service, Errand::Search { step: 0, sure: true }, buf, first).await;
+        let errand = Errand::Search(Search { place, steps: 1, sure: true });
+        self.send(service, errand, buf, first).await;
     }
 
     async fn send(&self, service: ServiceTag, errand: Errand, packet: &[u8], to: SocketAddrV4) {
@@ -316,20 +318,25 @@
         sockets::send(&self.socket, packet::reset(flow, seq).to_vec(), to).await;
     }
 
-    /// Repeats the searches that found nobody: the caller's own next try may come too late.
-    async fn search_again(&mut self, now: Timestamp) {
-        while let Some((due, flow)) = self.again.front().copied()
-            && due <= now
-        {
-            self.again.pop_front();
-            let found = self.owners.get(&flow, now).is_some();
-            let Some(buf) = self.kept.remove(&flow).filter(|_| !found) else { continue };
-            let routes = self.routes.clone();
-            let Some(route) = routes.get(flow.route()) else { continue };
-            let Ok(seg) = packet::decode(&buf, Sender::Caller) else { continue };
-            let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
-            self.search(&seg, service, &route.services(), &buf, now).await;
-        }
+    /// Has a search that found nobody repeated: the caller's own next try may come too late.
+    fn search_later(&self, flow: FlowTuple) {
+        let again = self.again.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(MISSING_AGAIN).await;
+            // Fails only when the task has ended.
+            let _ = again.send(flow);
+        })
+        .detach();
+    }
+
+    async fn search_again(&mut self, flow: FlowTuple, now: Timestamp) {
+        let found = self.owners.get(&flow, now).is_some();
+        let Some(buf) = self.kept.remove(&flow).filter(|_| !found) else { return };
+        let routes = self.routes.clone();
+        let Some(route) = routes.get(flow.route()) else { return };
+        let Ok(seg) = packet::decode(&buf, Sender::Caller) else { return };
+        let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
+        self.search(&seg, service, &route.services(), &buf, now).await;
     }
 
     async fn message(&mut self, message: FlowMessage, now: Timestamp) {
@@ -339,7 +346,7 @@
             }
             FlowMessage::Missing { flow, caller_expects } => {
                 if !self.owners.missing(flow, now) {
-                    self.again.push_back((now + SEARCH_AGAIN, flow));
+                    self.search_later(flow);
                     return;
                 }
                 self.counters.missing.inc();
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -47,8 +47,9 @@
     pub(crate) asks: HashMap<u64, (flume::Sender<Reply>, Timestamp)>,
     pub(crate) pulled: Option<(Revision, SocketAddrV4, Timestamp)>,
     pub(crate) platform_reachable: bool,
-    pub(crate) shown: Option<(u64, Revision)>,
+    pub(crate) shown: Option<(u64, Revision, bool)>,
     pub(crate) settings_source: SettingsSource,
+    pub(crate) settled: bool,
 }
 
 impl Control {
@@ -76,6 +77,7 @@
             platform_reachable: false,
             shown: None,
             settings_source,
+            settled: false,
         }
     }
 
@@ -84,6 +86,7 @@
             let now = self.handle.clock.now();
             self.take(input, now).await;
             self.record_member_changes(now);
+            self.settled = self.membership.settled(now);
             self.publish();
         }
     }
@@ -447,11 +450,12 @@
             members: Arc::new(self.membership.all().cloned().collect()),
             settings: self.settings.clone(),
             routes: self.routes.clone(),
+            settled: self.settled,
         }
     }
 
     fn publish(&mut self) {
-        let state = (self.membership.generation(), self.in_force());
+        let state = (self.membership.generation(), self.in_force(), self.settled);
         if self.shown == Some(state) {
             return;
         }
--- a/crates/dillmill-node/src/view.rs
+++ b/crates/dillmill-node/src/view.rs
@@ -16,6 +16,8 @@
     pub settings: Option<Arc<CompiledTree>>,
     /// The routes of packet flows in force; `None` until the first came.
     pub routes: Option<Arc<RouteTree>>,
+    /// The members are all there are, as far as can be told.
+    pub settled: bool,
 }
 
 impl View {
