fix(flow): an agent without a target no longer keeps searches open

Change: two and a half heartbeat intervals without any heartbeat mean that there is no target; agents show 0 slots until they have heard from one, and such a suspect proves nothing.

--- a/crates/dillmill-agent/src/agent.rs
+++ b/crates/dillmill-agent/src/agent.rs
@@ -5,7 +5,7 @@
 
 use compio::net::{TcpStream, UdpSocket};
 use dillmill_core::claims::RingMember;
-use dillmill_core::{EventKind, FlowId, MemberStatus, Role, ServiceName};
+use dillmill_core::{EventKind, FlowId, MemberStatus, Role, ServiceName, Weight};
 use dillmill_node::{
     Inlets, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, SettingsSource, View, Views,
     config::AgentConfig,
@@ -61,7 +61,12 @@
         let role = Role::Agent(service_name.clone());
         let node = Node::spawn(
             config,
-            NodeSpec { role, status: MemberStatus::Leaving, settings: SettingsSource::Tree },
+            NodeSpec {
+                role,
+                status: MemberStatus::Leaving,
+                weight: Weight(100),
+                settings: SettingsSource::Tree,
+            },
         )
         .await?;
         let metrics = AgentMetrics::new(&node.handle.metrics)?;
--- a/crates/dillmill-balancer/src/balancer.rs
+++ b/crates/dillmill-balancer/src/balancer.rs
@@ -8,7 +8,7 @@
 use compio::buf::BufResult;
 use compio::net::UdpSocket;
 use compio::runtime::JoinHandle;
-use dillmill_core::{EventKind, MemberStatus, Role, ServiceName, ServiceNumber};
+use dillmill_core::{EventKind, MemberStatus, Role, ServiceName, ServiceNumber, Weight};
 use dillmill_node::{
     Metrics, Node, NodeError, NodeHandle, NodeSpec, ProcessConfig, SettingsSource, View,
 };
@@ -88,6 +88,7 @@
         let spec = NodeSpec {
             role: Role::Balancer,
             status: MemberStatus::Serving,
+            weight: Weight(100),
             settings: SettingsSource::Tree,
         };
         let node = Node::spawn(config, spec).await?;
--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -124,11 +124,14 @@
     }
 
     /// Returns whether an agent of `services` is suspect, so that a search may have missed it.
+    ///
+    /// One that has never heard from a target has no flows that anybody could miss.
     #[must_use]
     pub fn any_suspect(&self, services: &[ServiceTag]) -> bool {
         self.agents
             .iter()
-            .any(|a| a.status == MemberStatus::Suspect && services.contains(&a.service))
+            .filter(|a| a.status == MemberStatus::Suspect && a.slots > 0)
+            .any(|a| services.contains(&a.service))
     }
 }
 
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -28,8 +28,12 @@
 const DIRECTIONS: u8 = 4;
 /// After this time every flow that began before the agent did is over or may be forgotten.
 const ALL_FLOWS_SEEN: Duration = Duration::from_mins(1);
+/// Heartbeats that a living target sends at least two of in this many intervals.
+const HEARTBEATS_MISSED: f64 = 2.5;
+/// Interval of heartbeats where the settings give none.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(1200);
 /// Packets given to the target on trial that are remembered until it gives them back.
-const TRIALS: usize = 4096;
+const TRIALS: usize = 1024;
 
 /// What the agent knows of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -206,6 +210,7 @@
     standing: TargetStanding,
     stopping: bool,
     started: Timestamp,
+    heartbeat_every: Duration,
     /// The target has started after the agent, so that every flow of it is known.
     sees_all: bool,
     flows: TargetFlows,
@@ -226,6 +231,7 @@
             standing: TargetStanding::Unknown,
             stopping: false,
             started: now,
+            heartbeat_every: HEARTBEAT_EVERY,
             sees_all: false,
             flows: TargetFlows::default(),
             directory: FlowDirectory::default(),
@@ -234,6 +240,24 @@
         }
     }
 
+    /// Sets the interval of a target's heartbeats.
+    #[must_use]
+    pub fn heartbeat_every(mut self, every: Duration) -> Self {
+        self.heartbeat_every = every;
+        self
+    }
+
+    /// Returns whether no target has spoken in a time in which a living one would have.
+    #[must_use]
+    pub fn has_no_target(&self, now: Timestamp) -> bool {
+        let limit = self.heartbeat_every.mul_f64(HEARTBEATS_MISSED);
+        match self.standing {
+            TargetStanding::Gone => true,
+            TargetStanding::Unknown => now.since(self.started) >= limit,
+            TargetStanding::Ready | TargetStanding::Leaving => false,
+        }
+    }
+
     /// Sets what is known of the target.
     pub fn set_standing(&mut self, standing: TargetStanding, slots: u16) {
         self.standing = standing;
@@ -395,7 +419,7 @@
         let blind = !self.sees_all && now.since(self.started) < ALL_FLOWS_SEEN;
         let may_hold = fit == Fit::Unknown
             && blind
-            && self.standing != TargetStanding::Gone
+            && !self.has_no_target(now)
             && arrival.services().contains(&self.service);
         if !may_hold {
             return self.search_on(arrival, lookup);
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -413,3 +413,29 @@
         assert_eq!(asked, [1, 2, 3, 4, 5], "flow {port}");
     }
 }
+
+/// No heartbeat in a time in which a living target sends two: there is none that could hold a flow.
+#[test]
+fn never_heard_target_holds_nothing() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW)
+        .heartbeat_every(Duration::from_secs(1));
+    let last = envelope(search(SearchPlace::Holder(0)));
+    let later = NOW + Duration::from_secs(3);
+    let verdict = gate.arrived(&request(1), &last, known, later);
+    assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+}
+
+/// A suspect agent that never heard from a target does not keep searches open.
+#[test]
+fn suspect_agent_without_target_ignored() {
+    let mut members = [1, 2, 3].map(|n| member(n, "orders", MemberStatus::Serving));
+    members[2].status = MemberStatus::Suspect;
+    members[2].weight = Weight(0);
+    let (agents, routes) = (agents(&members), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let last = envelope(search(SearchPlace::Holder(0)));
+    let verdict = arrived(&mut gate(), &request(1), &last, known);
+    assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+}
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dillmill_core::flow_gate::TargetStanding;
-use dillmill_core::{EventKind, MemberStatus, Role};
+use dillmill_core::{EventKind, MemberStatus, Role, Weight};
 use dillmill_node::{Inlets, Node, NodeError, NodeSpec, SettingsSource};
 use dillmill_platform::ProcessSettings;
 use error_stack::Report;
@@ -50,6 +49,7 @@
         let spec = NodeSpec {
             role: Role::Agent(service.clone()),
             status: MemberStatus::Leaving,
+            weight: Weight(0),
             settings: SettingsSource::Routes,
         };
         let node = Node::spawn(&config, spec).await?;
@@ -84,12 +84,12 @@
         let (done, finished) = flume::bounded(1);
         let limit = self.stop_limit.get().saturating_sub(STOP_MARGIN);
         let _ = self.stop.send(StopRequest { done });
-        let standing = compio::time::timeout(limit, finished.recv_async()).await;
-        let cause = if standing.is_ok() { "no more requests" } else { "limit reached" };
+        let target_gone = compio::time::timeout(limit, finished.recv_async()).await;
+        let cause = if target_gone.is_ok() { "no more requests" } else { "limit reached" };
         handle.journal.record(EventKind::Process, "agent stopped", cause);
         // While the target lives, its flows do: the others must not take them for gone. The agent is
         // started again, or its silence tells.
-        if matches!(standing, Ok(Ok(TargetStanding::Gone))) {
+        if matches!(target_gone, Ok(Ok(true))) {
             handle.stopped().await;
         }
     }
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct StopRequest {
     /// Told when the last request has its answer, and whether the target has ended too.
-    pub done: flume::Sender<TargetStanding>,
+    pub done: flume::Sender<bool>,
 }
 
 enum Event {
@@ -101,7 +101,8 @@
         let now = handle.clock.now();
         let tag = ServiceTag::from(&service);
         Self {
-            gate: FlowGate::new(handle.process, settings.packets, tag, now),
+            gate: FlowGate::new(handle.process, settings.packets, tag, now)
+                .heartbeat_every(settings.heartbeat_every),
             log: DecisionLog::new(handle.journal.clone(), now),
             views: handle.views(),
             handle,
@@ -382,7 +383,7 @@
         let Some((request, since)) = &self.stopping else { return };
         let heard = now.since(*since) >= STOP_MIN || self.gate.standing() == TargetStanding::Gone;
         if heard && self.gate.load(now).requests == 0 {
-            let _ = request.done.send(self.gate.standing());
+            let _ = request.done.send(self.gate.has_no_target(now));
             self.stopping = None;
         }
     }
@@ -454,7 +455,7 @@
         let before = self.gate.standing();
         let slots_before = self.gate.slots();
         self.gate.set_standing(standing, slots);
-        if slots != slots_before {
+        if slots != slots_before || before == TargetStanding::Unknown {
             self.handle.update_me(move |me| me.weight = Weight(slots));
         }
         if before == standing {
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dillmill_core::{EventKind, MemberStatus, Role};
+use dillmill_core::{EventKind, MemberStatus, Role, Weight};
 use dillmill_node::{Inlets, Node, NodeError, NodeSpec, SettingsSource};
 use dillmill_platform::endpoint::Accepted;
 use dillmill_platform::{EndpointCall, ProcessSettings};
@@ -49,6 +49,7 @@
         let spec = NodeSpec {
             role: Role::Balancer,
             status: MemberStatus::Serving,
+            weight: Weight(100),
             settings: SettingsSource::Routes,
         };
         let node = Node::spawn(&config, spec).await?;
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -29,6 +29,8 @@
     pub role: Role,
     /// Standing at start: a process that is not ready yet starts as leaving.
     pub status: MemberStatus,
+    /// Share of new flows; for an agent of packet flows the slots of its target, 0 while unknown.
+    pub weight: Weight,
     /// What the process is configured by.
     pub settings: SettingsSource,
 }
@@ -91,7 +93,7 @@
             data: config.data,
             control,
             started: clock.now(),
-            weight: Weight(100),
+            weight: spec.weight,
             version: 1,
             status: spec.status,
             reaches_store: false,
