feat(flow): six keepers talk to the store for the whole fleet

Change: the six lowest hashes among processes that the store does not turn away keep entries, three of them watch; the others hear from them (core/store_duty.rs). Ticks and log batches of 100 ms.

--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -13,8 +13,8 @@
 use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
 
 /// An agent that has not answered for this long gets new flows only when the others are busy: a report
-/// is due within [`REPORT_EVERY`] and a round trip, and a caller sends its first copy after 200 ms.
-const ANSWER_LIMIT: Duration = Duration::from_millis(180);
+/// is due within a tick of the agent (100 ms) and a round trip; the rest is for thin VMs.
+const ANSWER_LIMIT: Duration = Duration::from_millis(230);
 /// Time between two reports of an agent to one balancer.
 pub const REPORT_EVERY: Duration = Duration::from_millis(50);
 /// Time between two questions to an agent that does not answer.
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`retry_budget`] | whether a request may be tried once more |
 //! | [`warm_up`] | how many slots a target that has just started gets |
 //! | [`watch_duty`] | which processes hold a watch at the platform |
+//! | [`store_duty`] | which processes keep an entry in the platform's store for others to join through |
 
 pub mod agent_table;
 pub mod claims;
@@ -42,6 +43,7 @@
 pub mod secret;
 pub mod segment;
 pub mod service_tag;
+pub mod store_duty;
 pub mod target_flows;
 pub mod timestamp;
 pub mod warm_up;
@@ -57,7 +59,7 @@
 pub use flow_tuple::FlowTuple;
 pub use home_table::{Home, HomeTable};
 pub use interval::Interval;
-pub use member::{Member, MemberStatus, Role};
+pub use member::{Member, MemberStatus, Role, StoreReach};
 pub use membership::Membership;
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
 pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
--- a/crates/dillmill-core/src/member.rs
+++ b/crates/dillmill-core/src/member.rs
@@ -49,6 +49,18 @@
     }
 }
 
+/// Whether the platform's store answers a process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum StoreReach {
+    /// It has not asked lately.
+    #[default]
+    Unknown,
+    /// It answers.
+    Answers,
+    /// It turns the process away, or can't be reached.
+    Fails,
+}
+
 /// The record of one process, as spread among all.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -72,8 +84,8 @@
     pub version: u32,
     /// Standing.
     pub status: MemberStatus,
-    /// Whether the platform's store answers it, so that it can watch for others.
-    pub reaches_store: bool,
+    /// Whether the platform's store answers it, as far as it has asked.
+    pub store: StoreReach,
 }
 
 impl Member {
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -35,7 +35,7 @@
         weight: Weight(5),
         version: 1,
         status,
-        reaches_store: true,
+        store: dillmill_core::StoreReach::Answers,
     }
 }
 
--- a/crates/dillmill-core/tests/flow_placements.rs
+++ b/crates/dillmill-core/tests/flow_placements.rs
@@ -27,7 +27,7 @@
         weight: Weight(5),
         version: 1,
         status: MemberStatus::Serving,
-        reaches_store: true,
+        store: dillmill_core::StoreReach::Answers,
     }
 }
 
--- a/crates/dillmill-core/tests/membership_views.rs
+++ b/crates/dillmill-core/tests/membership_views.rs
@@ -27,7 +27,7 @@
         started: Timestamp::from_millis(u64::from(n)),
         weight: Weight(100),
         version: 1,
-        reaches_store: true,
+        store: dillmill_core::StoreReach::Answers,
         status: MemberStatus::Serving,
     }
 }
--- /dev/null
+++ b/crates/dillmill-core/tests/store_duties.rs
@@ -0,0 +1,73 @@
+//! Which processes talk to the platform's store.
+
+use std::net::SocketAddrV4;
+
+use dillmill_core::store_duty::{KEEPERS, on_duty};
+use dillmill_core::{Member, MemberStatus, ProcessId, Role, StoreReach, Timestamp, Weight};
+
+fn member(n: u8, role: Role) -> Member {
+    let addr = |port| SocketAddrV4::new([10, 0, 0, n].into(), port);
+    Member {
+        process: ProcessId(u64::from(n)),
+        vm: format!("vm-{n}").parse().unwrap(),
+        zone: "zone-1".parse().unwrap(),
+        role,
+        data: addr(7001),
+        control: addr(7000),
+        started: Timestamp::default(),
+        weight: Weight(5),
+        version: 1,
+        status: MemberStatus::Serving,
+        store: StoreReach::Unknown,
+    }
+}
+
+fn fleet(balancers: u8, agents: u8) -> Vec<Member> {
+    let agent = || Role::Agent("orders".parse().unwrap());
+    let balancers = (1..=balancers).map(|n| member(n, Role::Balancer));
+    balancers.chain((101..=100 + agents).map(|n| member(n, agent()))).collect()
+}
+
+fn keepers(fleet: &[Member]) -> Vec<u64> {
+    let duty = |m: &&Member| on_duty(m.process, fleet.iter(), KEEPERS);
+    fleet.iter().filter(duty).map(|m| m.process.0).collect()
+}
+
+#[test]
+fn number_does_not_grow_with_the_fleet() {
+    assert_eq!(keepers(&fleet(4, 11)).len(), KEEPERS);
+    assert_eq!(keepers(&fleet(60, 120)).len(), KEEPERS);
+    assert_eq!(keepers(&fleet(1, 2)).len(), 3);
+}
+
+#[test]
+fn agents_before_balancers() {
+    assert!(keepers(&fleet(20, 8)).iter().all(|n| *n > 100));
+    assert_eq!(keepers(&fleet(20, 4)).iter().filter(|n| **n > 100).count(), 4);
+}
+
+/// A keeper that is turned away or silent is replaced; the others stay.
+#[test]
+fn next_takes_the_place() {
+    let mut fleet = fleet(4, 11);
+    let before = keepers(&fleet);
+    let i = fleet.iter().position(|m| m.process.0 == before[0]).unwrap();
+    fleet[i].store = StoreReach::Fails;
+    let j = fleet.iter().position(|m| m.process.0 == before[1]).unwrap();
+    fleet[j].status = MemberStatus::Suspect;
+    let after = keepers(&fleet);
+    assert_eq!(after.len(), KEEPERS);
+    assert_eq!(before[2..].iter().filter(|n| after.contains(n)).count(), KEEPERS - 2);
+    assert!(!after.contains(&before[0]) && !after.contains(&before[1]));
+}
+
+/// When the store answers nobody, somebody must notice its return.
+#[test]
+fn outage_leaves_the_first_asking() {
+    let mut fleet = fleet(4, 11);
+    let before = keepers(&fleet);
+    for m in &mut fleet {
+        m.store = StoreReach::Fails;
+    }
+    assert_eq!(keepers(&fleet), before);
+}
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -73,7 +73,7 @@
         );
         compio::runtime::spawn(task.run(calls, flows, stops)).detach();
         Session::spawn(&node, config.control, settings.shortest_lease);
-        RouteWatch::spawn(&node, config.watchers);
+        RouteWatch::spawn(&node);
         Ok(Self { node, stop, stop_limit: Rc::new(Cell::new(settings.stop_limit)) })
     }
 
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -25,6 +25,8 @@
 use crate::registrations::Registrations;
 use crate::sockets::{self, datagrams, ticks};
 
+/// Time between two looks at what is due to be sent. Each wake-up costs; what can't wait is sent at once.
+const TICK: Duration = Duration::from_millis(100);
 /// A balancer that has sent no new flow for this long gets no more reports.
 const REPORT_WHILE: Duration = Duration::from_secs(2);
 /// Reports without a new flow since the last one come this much further apart.
@@ -136,7 +138,7 @@
             flows.into_stream().map(|(from, m)| Event::Flow(from, m)).boxed_local(),
             calls.into_stream().map(Event::Call).boxed_local(),
             stops.into_stream().map(Event::Stop).boxed_local(),
-            ticks(REPORT_EVERY).map(|()| Event::Tick).boxed_local(),
+            ticks(TICK).map(|()| Event::Tick).boxed_local(),
         ]);
         while let Some(event) = events.next().await {
             let now = self.handle.clock.now();
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -74,7 +74,7 @@
         );
         compio::runtime::spawn(task.run(loads, flows)).detach();
         Session::spawn(&node, config.control, settings.shortest_lease);
-        RouteWatch::spawn(&node, config.watchers);
+        RouteWatch::spawn(&node);
         let stop_limit = Rc::new(Cell::new(settings.stop_limit));
         Ok(Self { node, readiness, counters, stop_limit })
     }
--- a/crates/dillmill-flow/src/config.rs
+++ b/crates/dillmill-flow/src/config.rs
@@ -3,16 +3,11 @@
 use std::fmt::Write;
 use std::net::SocketAddrV4;
 
-use dillmill_core::{Secret, watch_duty};
+use dillmill_core::{Secret, store_duty};
 use dillmill_node::{LogLevel, ProcessConfig};
 use dillmill_platform::ProcessSettings;
 use sha2::{Digest, Sha256};
 
-/// Processes of the fleet that watch the operator's configuration.
-///
-/// Each change wakes every watch, and each call is paid for; three leave two when one is lost.
-const WATCHERS: usize = 3;
-
 /// Derives the configuration of a process; `metrics_port` is that of its administration page.
 ///
 /// The platform gives processes no secret, so the key of the installation follows from the address
@@ -37,7 +32,7 @@
         platform: format!("http://{}", settings.store),
         cluster_key: Secret::from(key),
         peers: settings.peers.iter().map(|ip| SocketAddrV4::new(*ip, control_port)).collect(),
-        watchers: WATCHERS.min(watch_duty::WATCHERS),
+        watchers: store_duty::WATCHERS,
         log: LogLevel::Info,
         balancer: None,
         agent: None,
--- a/crates/dillmill-flow/src/route_watch.rs
+++ b/crates/dillmill-flow/src/route_watch.rs
@@ -6,16 +6,16 @@
 
 use std::time::Duration;
 
-use dillmill_core::{EventKind, Role, watch_duty};
+use dillmill_core::{EventKind, StoreReach, store_duty};
 use dillmill_node::{Node, NodeHandle, View, Views};
 use dillmill_platform::store_protocol::DOCUMENT_KEY;
 use dillmill_platform::{Entry, PlatformError, Store, Version, WatchOutcome, document};
 use error_stack::Report;
 use rand::Rng;
 
-/// Longest wait of one watch. A watch that is cut without a word is noticed by then at the latest;
-/// every watch that ends empty is a call that is paid for.
-const WATCH: Duration = Duration::from_secs(10);
+/// Longest wait of one watch: every watch that ends empty is a call that is paid for. A watch that is cut
+/// without a word is noticed sooner, as the lease is not renewed then either.
+const WATCH: Duration = Duration::from_secs(25);
 /// Wait between two events: changes that come faster are read as one.
 const GATHER: Duration = Duration::from_millis(100);
 /// How long a process that starts waits for its peers' routes before it reads the store, at least and
@@ -33,21 +33,19 @@
     handle: NodeHandle,
     views: Views,
     view: Option<std::sync::Arc<View>>,
-    watchers: usize,
     after: Option<Version>,
 }
 
 type Step<T> = Result<T, Report<PlatformError>>;
 
 impl RouteWatch {
-    /// Starts the task; `watchers` processes of the fleet watch.
-    pub fn spawn(node: &Node, watchers: usize) {
+    /// Starts the task.
+    pub fn spawn(node: &Node) {
         let watch = Self {
             store: node.store.clone(),
             handle: node.handle.clone(),
             views: node.handle.views(),
             view: None,
-            watchers,
             after: None,
         };
         compio::runtime::spawn(watch.run()).detach();
@@ -78,27 +76,12 @@
         }
     }
 
-    /// Returns whether this process watches. Agents do before balancers, which are thin.
+    /// Returns whether this process watches: it is among the first keepers, and the store answers it.
     fn on_duty(&self) -> bool {
         let Some(view) = &self.view else { return false };
-        let able = |m: &&dillmill_core::Member| {
-            m.reaches_store && m.status < dillmill_core::MemberStatus::Suspect
-        };
-        let agents =
-            || view.members.iter().filter(able).filter(|m| matches!(m.role, Role::Agent(_)));
-        let now = self.handle.clock.now();
-        let me = view.me.process;
-        if agents().count() >= self.watchers {
-            return agents().any(|m| m.process == me)
-                && watch_duty::watches(me, agents().map(|m| m.process), self.watchers, now);
-        }
-        view.me.reaches_store
-            && watch_duty::watches(
-                me,
-                view.members.iter().filter(able).map(|m| m.process),
-                self.watchers,
-                now,
-            )
+        let members = view.members.iter();
+        view.me.store == StoreReach::Answers
+            && store_duty::on_duty(view.me.process, members, store_duty::WATCHERS)
     }
 
     async fn step(&mut self) -> Step<()> {
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -1,17 +1,18 @@
 //! The process's entry in the store, and the way to the other processes.
 //!
-//! Processes find each other in the store and then talk directly: an entry only says where a process
-//! was when it wrote it. Whether it lives is settled by probes, so an entry that lapses or is taken
-//! away while its process lives changes nothing.
+//! Processes find each other through the addresses in their settings and through the entries of a few
+//! keepers ([`store_duty`]), and then talk directly. An entry only says where a process was when it wrote
+//! it. Whether it lives is settled by probes, so an entry that lapses or is taken away while its process
+//! lives changes nothing.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
-use dillmill_core::EventKind;
-use dillmill_node::{Node, NodeHandle};
+use dillmill_core::{EventKind, StoreReach, Timestamp, store_duty};
+use dillmill_node::{Node, NodeHandle, View, Views};
 use dillmill_platform::{CommitOutcome, LeaseId, Store};
 use error_stack::Report;
-use rand::Rng;
 
 /// Keys of processes: this and the number of the run.
 const PREFIX: &str = "dillmill/processes/";
@@ -23,8 +24,12 @@
 const RENEW_EVERY: Duration = Duration::from_millis(1200);
 /// Wait after a failed call: an entry must be back within 2 s of the store's return.
 const RETRY: Duration = Duration::from_millis(800);
-/// Entries through which a process joins; a few are enough to learn of all others.
-const PEERS: usize = 8;
+/// How long a process tries the addresses in its settings before it looks for others in the store.
+const SETTINGS_FIRST: Duration = Duration::from_millis(250);
+/// Before this age a process does not know all others, and would take itself for a keeper too soon.
+const KEEPER_AGE: Duration = Duration::from_millis(1500);
+/// How often a process that is no keeper looks whether it is one now.
+const OFF_DUTY: Duration = Duration::from_millis(500);
 
 /// Keeps the entry of a process for as long as it lives.
 #[derive(Debug)]
@@ -34,8 +39,11 @@
     control: SocketAddrV4,
     lease: Option<LeaseId>,
     ttl: Duration,
-    joined: bool,
-    answered: Option<bool>,
+    views: Views,
+    view: Option<Arc<View>>,
+    started: Timestamp,
+    /// What this process has told the others of the store, and when.
+    told: (StoreReach, Timestamp),
 }
 
 type Step<T> = Result<T, Report<dillmill_platform::PlatformError>>;
@@ -43,36 +51,71 @@
 impl Session {
     /// Starts the task that keeps the entry.
     pub fn spawn(node: &Node, control: SocketAddrV4, shortest_lease: Duration) {
+        let now = node.handle.clock.now();
         let session = Self {
             store: node.store.clone(),
             handle: node.handle.clone(),
             control,
             lease: None,
             ttl: LEASE.max(shortest_lease),
-            joined: false,
-            answered: None,
+            views: node.handle.views(),
+            view: None,
+            started: now,
+            told: (StoreReach::Unknown, now),
         };
         compio::runtime::spawn(session.run()).detach();
     }
 
     async fn run(mut self) {
         loop {
-            let outcome = self.step().await;
-            let pause = match outcome {
-                Ok(()) => {
-                    self.answered(true, "call answered".to_owned());
-                    RENEW_EVERY
-                }
-                Err(report) => {
-                    self.handle.metrics.platform_errors.inc();
-                    self.answered(false, report.current_context().to_string());
-                    RETRY
-                }
-            };
+            self.view = self.views.newer().or(self.view.take());
+            let now = self.handle.clock.now();
+            let pause = if self.has_duty(now) { self.talk().await } else { self.rest(now).await };
             compio::time::sleep(pause).await;
         }
     }
 
+    /// Returns whether this process talks to the store: as a keeper, or because it is alone.
+    fn has_duty(&self, now: Timestamp) -> bool {
+        let Some(view) = &self.view else { return false };
+        if view.members.len() <= 1 {
+            return now.since(self.started) >= SETTINGS_FIRST;
+        }
+        now.since(self.started) >= KEEPER_AGE
+            && store_duty::on_duty(view.me.process, view.members.iter(), store_duty::KEEPERS)
+    }
+
+    async fn talk(&mut self) -> Duration {
+        match self.step().await {
+            Ok(()) => {
+                self.answered(StoreReach::Answers, "call answered".to_owned());
+                RENEW_EVERY
+            }
+            Err(report) => {
+                self.handle.metrics.platform_errors.inc();
+                self.answered(StoreReach::Fails, report.current_context().to_string());
+                RETRY
+            }
+        }
+    }
+
+    /// Gives the entry up, and forgets after a while that the store has failed.
+    async fn rest(&mut self, now: Timestamp) -> Duration {
+        if let Some(lease) = self.lease.take()
+            && let Err(report) = self.store.end(lease).await
+        {
+            // It lapses by itself.
+            let cause = report.current_context().to_string();
+            self.handle.journal.record(EventKind::Platform, "entry not given up", cause);
+        }
+        let (told, at) = self.told;
+        let stale = told == StoreReach::Fails && now.since(at) >= store_duty::TRY_AGAIN;
+        if told == StoreReach::Answers || stale {
+            self.tell(StoreReach::Unknown);
+        }
+        if now.since(self.started) < KEEPER_AGE { SETTINGS_FIRST } else { OFF_DUTY }
+    }
+
     async fn step(&mut self) -> Step<()> {
         match self.lease {
             Some(lease) => {
@@ -89,7 +132,7 @@
             }
             None => self.enter().await?,
         }
-        if !self.joined {
+        if self.view.as_ref().is_none_or(|view| view.members.len() <= 1) {
             self.join().await?;
         }
         Ok(())
@@ -109,32 +152,24 @@
         Ok(())
     }
 
-    /// Reads where some other processes are.
-    ///
-    /// The read begins at a random place, so that thousands of processes that start at once don't
-    /// all join through the same few.
+    /// Reads where the keepers are.
     async fn join(&mut self) -> Step<()> {
-        let random: u64 = rand::rng().random();
-        let mut entries = self.store.list(PREFIX, &format!("{PREFIX}{random:016x}")).await?.entries;
-        if entries.len() < PEERS {
-            entries.extend(self.store.list(PREFIX, "").await?.entries);
-        }
+        let entries = self.store.list(PREFIX, "").await?.entries;
         let control = |value: &[u8]| std::str::from_utf8(value).ok()?.parse::<SocketAddrV4>().ok();
-        let mut peers: Vec<SocketAddrV4> =
-            entries.iter().filter_map(|e| control(&e.value)).collect();
-        peers.sort_unstable();
-        peers.dedup();
-        peers.truncate(PEERS * 2);
-        self.joined = peers.iter().any(|peer| *peer != self.control);
+        let peers = entries.iter().filter_map(|e| control(&e.value)).collect();
         self.handle.add_seeds(peers);
         Ok(())
     }
 
-    fn answered(&mut self, reachable: bool, cause: String) {
-        self.handle.platform_answered(reachable, cause);
-        if self.answered != Some(reachable) {
-            self.answered = Some(reachable);
-            self.handle.update_me(move |me| me.reaches_store = reachable);
+    fn answered(&mut self, reach: StoreReach, cause: String) {
+        self.handle.platform_answered(reach == StoreReach::Answers, cause);
+        if self.told.0 != reach {
+            self.tell(reach);
         }
     }
+
+    fn tell(&mut self, reach: StoreReach) {
+        self.told = (reach, self.handle.clock.now());
+        self.handle.update_me(move |me| me.store = reach);
+    }
 }
--- a/crates/dillmill-node/src/log_writer.rs
+++ b/crates/dillmill-node/src/log_writer.rs
@@ -11,7 +11,7 @@
 /// Lines that wait at most; with some 200 bytes a line, 0.4 MB.
 const QUEUE: usize = 2000;
 /// Wait between two batches: one wake-up serves all lines of that time.
-const GATHER: Duration = Duration::from_millis(20);
+const GATHER: Duration = Duration::from_millis(100);
 /// Longest wait for the last lines when the process ends.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -5,7 +5,7 @@
 
 use compio::buf::BufResult;
 use compio::net::{TcpListener, TcpStream, UdpSocket};
-use dillmill_core::{EventKind, Member, MemberStatus, ProcessId, Role, Weight};
+use dillmill_core::{EventKind, Member, MemberStatus, ProcessId, Role, StoreReach, Weight};
 use dillmill_platform::Store;
 use dillmill_store::SettingsStore;
 use dillmill_wire::{ClusterKey, StreamMessage};
@@ -18,7 +18,7 @@
     store_task,
 };
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 const MAX_DATAGRAM: usize = 64 * 1024;
 const ADMIN_DEFAULT: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0);
 
@@ -96,7 +96,7 @@
             weight: spec.weight,
             version: 1,
             status: spec.status,
-            reaches_store: false,
+            store: StoreReach::Unknown,
         };
         let what = format!("{} {} started", me.role, me.vm);
         handle.journal.record(EventKind::Process, what, format!("process {process}"));
