feat(flow): queues bounded by the route's aim; resets of targets that own nothing held back

Change: an agent measures the work of requests that did not wait and refuses a new flow when the wait would take three quarters of its route's aim; three seeds are asked at once.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -17,9 +17,12 @@
 
 /// Agents that may pass an opening packet on before the last one must decide.
 const PLACE_HOPS: usize = 3;
-/// Requests a slot beyond which a target gets no new flow: a request behind them would wait for two
-/// rounds, so that its answer came late in any case; refused at once, the caller can try elsewhere.
-const CROWDED: u32 = 3;
+/// Part of a route's latency aim that the work ahead of a new request may take, in percent. Beyond it the
+/// answer would come late in any case, and late for all behind it; refused at once, the caller can try
+/// elsewhere. The rest is for the way and for the caller's own time.
+const AIM_SHARE: u32 = 75;
+/// The same where a route has no aim, in rounds of work.
+const ROUNDS: u32 = 3;
 /// Agents asked for the owner of a flow; more than the targets of any one service to come (9 on
 /// average) leave room for several.
 const SEARCH_STEPS: u8 = 64;
@@ -166,6 +169,8 @@
     pub record: Option<FlowRecord>,
     /// How long the request took whose answer begins.
     pub answered: Option<Duration>,
+    /// The packet resets a flow that the target may never have owned, and must not reach the caller.
+    pub stray_reset: bool,
 }
 
 /// What a decision rests on besides the gate's own state.
@@ -362,7 +367,7 @@
         {
             return verdict;
         }
-        if requests >= slots * CROWDED {
+        if requests >= slots && self.is_late(requests, arrival) {
             return self.refuse(RefuseReason::Crowded, env, passed);
         }
         self.flows.opening(seg.flow, copies, now);
@@ -371,6 +376,15 @@
         Verdict::Deliver { mark: self.begin_trial(env.clone()), tell }
     }
 
+    /// Returns whether a request behind `requests` others would miss the aim of its route.
+    fn is_late(&self, requests: u32, arrival: Arrival<'_>) -> bool {
+        let work = self.flows.work();
+        let wait = work * (requests + 1) / u32::from(self.slots);
+        let route = arrival.known.routes.get(arrival.seg.flow.route());
+        let aim = route.and_then(|route| route.latency_aim);
+        wait > aim.map_or(work * ROUNDS, |aim| aim * AIM_SHARE / 100)
+    }
+
     fn refuse(&self, reason: RefuseReason, env: &Envelope, passed: &[ProcessId]) -> Verdict {
         let placed = passed.first().copied().unwrap_or(self.me);
         Verdict::Refuse { reason, origin: env.origin, placed }
@@ -407,7 +421,7 @@
     /// Decides on a packet of a flow that should be open somewhere.
     fn find(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
         let Arrival { seg, env, known, now } = arrival;
-        let fit = self.flows.note_caller(seg, now);
+        let fit = self.flows.note_caller(seg, self.slots, now);
         if fit == Fit::Ours {
             let told_by_others = lookup.search.is_some();
             return Verdict::Deliver { mark: 0, tell: told_by_others.then_some(env.origin) };
@@ -521,7 +535,7 @@
         let noted = self.flows.note_target(seg, now);
         let accept = seg.kind == SegmentKind::Accept;
         let record = noted.new.then(|| self.record(seg.flow, accept.then_some(seg.seq), !accept));
-        Answered { record, answered: noted.answered }
+        Answered { record, answered: noted.answered, stray_reset: noted.stray_reset }
     }
 
     /// Returns where packets reach the agent.
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -33,12 +33,15 @@
 const SUSPECT_TIMEOUT: Duration = Duration::from_secs(3);
 const REVIVE_INTERVAL: Duration = Duration::from_secs(5);
 const FORGET_AFTER: Duration = Duration::from_mins(30);
-const JOIN_INTERVAL: Duration = Duration::from_millis(300);
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
+/// New seeds that are asked at once: one or two of them may be gone.
+const SEEDS_AT_ONCE: usize = 3;
 const REJOIN_INTERVAL: Duration = Duration::from_secs(3);
 const SYNC_INTERVAL: Duration = Duration::from_secs(20);
 /// A process that has just started knows few others: for this long it joins and compares more often.
 const YOUNG: Duration = Duration::from_secs(3);
-const YOUNG_SYNC_INTERVAL: Duration = Duration::from_millis(200);
+const YOUNG_SYNC_INTERVAL: Duration = Duration::from_millis(150);
+const YOUNG_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// A tick that comes this late means that this process was paused, not that others were silent.
 const PAUSE: Duration = Duration::from_millis(800);
 const HELPERS: usize = 2;
@@ -87,7 +90,8 @@
     agrees: bool,
     last_tick: Option<Timestamp>,
     revision: Revision,
-    wants_sync: Option<SocketAddrV4>,
+    /// Peers to compare all records with.
+    wants_sync: VecDeque<SocketAddrV4>,
     generation: u64,
     seeds: Vec<SocketAddrV4>,
     next_seed: Timestamp,
@@ -114,7 +118,7 @@
             agrees: false,
             last_tick: None,
             revision: Revision::default(),
-            wants_sync: None,
+            wants_sync: VecDeque::new(),
             generation: 0,
             seeds: Vec::new(),
             next_seed: Timestamp::default(),
@@ -134,12 +138,13 @@
 
     /// Adds control addresses through which this process joins.
     pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddrV4>) {
+        let first = self.seeds.len();
         for seed in seeds {
             if seed != self.me.control && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
             }
         }
-        self.next_seed = Timestamp::default();
+        self.wants_sync.extend(self.seeds.iter().skip(first).take(SEEDS_AT_ONCE));
     }
 
     /// Returns this process's own record.
@@ -216,7 +221,7 @@
 
     /// Returns a peer whose records differ, at most once per 20 s.
     pub fn take_wants_sync(&mut self) -> Option<SocketAddrV4> {
-        self.wants_sync.take()
+        self.wants_sync.pop_front()
     }
 
     /// Changes this process's own record, raising its version.
@@ -338,7 +343,8 @@
         self.check_pending(now, draw, &mut out);
         self.expire(now);
         if now >= self.next_probe && self.pending.is_none() {
-            self.next_probe = now + PROBE_INTERVAL;
+            let young = self.is_young(now);
+            self.next_probe = now + if young { YOUNG_PROBE_INTERVAL } else { PROBE_INTERVAL };
             self.probe_next(now, draw, &mut out);
         }
         if now >= self.next_revive {
@@ -359,7 +365,7 @@
         let seed = self.seeds[draw(self.seeds.len())];
         let known = self.others().any(|m| m.control == seed && m.status != MemberStatus::Down);
         if !known {
-            self.wants_sync = Some(seed);
+            self.wants_sync.push_back(seed);
         }
     }
 
@@ -556,7 +562,7 @@
         if digest.members != self.hash && now >= self.next_sync {
             let young = self.is_young(now);
             self.next_sync = now + if young { YOUNG_SYNC_INTERVAL } else { SYNC_INTERVAL };
-            self.wants_sync = Some(from);
+            self.wants_sync.push_back(from);
         }
     }
 
--- a/crates/dillmill-core/src/route_table.rs
+++ b/crates/dillmill-core/src/route_table.rs
@@ -1,6 +1,7 @@
 //! The routes in force, ready for look-ups by packet.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use crate::{FlowTuple, Revision, ServiceTag, Weight};
 
@@ -14,6 +15,8 @@
     pub shares: Vec<(ServiceTag, Weight)>,
     /// Services that had a share under an earlier revision: open flows stay with them.
     pub former: Vec<ServiceTag>,
+    /// Time within which an answer is of full use to callers.
+    pub latency_aim: Option<Duration>,
 }
 
 impl RouteEntry {
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -19,6 +19,11 @@
 /// two round trips between data centres.
 const FIRST_REQUEST: Duration = Duration::from_millis(30);
 
+/// Work of a request before any was seen: what requests take on the users' services.
+const FIRST_WORK: Duration = Duration::from_millis(50);
+/// Weight of a new observation of the work: some ten requests settle it.
+const WORK_SHARE: u32 = 8;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     /// The target has been handed the opening packet.
@@ -36,6 +41,8 @@
     taken: Timestamp,
     /// When the request that has had no answer yet began.
     request: Option<Timestamp>,
+    /// It began while a slot was free, so that its time is that of the work alone.
+    unqueued: bool,
 }
 
 /// Whether a packet of a caller belongs to the target.
@@ -56,17 +63,22 @@
     pub new: bool,
     /// How long the request took whose answer begins.
     pub answered: Option<Duration>,
+    /// The target resets a flow that it may never have owned: the caller may have acknowledged another
+    /// target, to which a copy of its opening packet went.
+    pub stray_reset: bool,
 }
 
 /// The flows of one target.
 #[derive(Debug)]
 pub struct TargetFlows {
     flows: Generations<FlowTuple, TargetFlow>,
+    /// Time that the target takes for a request that does not wait, smoothed.
+    work: Duration,
 }
 
 impl Default for TargetFlows {
     fn default() -> Self {
-        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY) }
+        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY), work: FIRST_WORK }
     }
 }
 
@@ -76,13 +88,19 @@
         if copies > 0 && self.flows.get_mut(&flow, now).is_some() {
             return;
         }
-        let opening =
-            TargetFlow { stage: Stage::Opening, target_seq: None, taken: now, request: None };
+        let opening = TargetFlow {
+            stage: Stage::Opening,
+            target_seq: None,
+            taken: now,
+            request: None,
+            unqueued: false,
+        };
         self.flows.insert(flow, opening, now);
     }
 
-    /// Takes in a packet of the caller and says whether it belongs to the target.
-    pub fn note_caller(&mut self, seg: &Segment, now: Timestamp) -> Fit {
+    /// Takes in a packet of the caller and says whether it belongs to the target, which has `slots`.
+    pub fn note_caller(&mut self, seg: &Segment, slots: u16, now: Timestamp) -> Fit {
+        let unqueued = seg.len > 0 && self.load(now).requests <= u32::from(slots);
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return Fit::Unknown };
         if flow.stage == Stage::Opening {
             let near =
@@ -94,7 +112,10 @@
         }
         match seg.kind {
             SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
-            _ if seg.len > 0 && flow.request.is_none() => flow.request = Some(now),
+            _ if seg.len > 0 && flow.request.is_none() => {
+                flow.request = Some(now);
+                flow.unqueued = unqueued;
+            }
             _ => {}
         }
         Fit::Ours
@@ -104,7 +125,7 @@
     pub fn note_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else {
             if seg.kind == SegmentKind::Reset {
-                return FromTarget::default();
+                return FromTarget { stray_reset: true, ..FromTarget::default() };
             }
             let accept = seg.kind == SegmentKind::Accept;
             let learned = TargetFlow {
@@ -112,21 +133,33 @@
                 target_seq: accept.then_some(seg.seq),
                 taken: now,
                 request: None,
+                unqueued: false,
             };
             self.flows.insert(seg.flow, learned, now);
-            return FromTarget { new: true, answered: None };
+            return FromTarget { new: true, ..FromTarget::default() };
         };
+        let stray_reset = seg.kind == SegmentKind::Reset && flow.stage == Stage::Opening;
         match seg.kind {
             SegmentKind::Accept => {
                 let fresh = flow.target_seq != Some(seg.seq);
                 flow.target_seq = Some(seg.seq);
-                return FromTarget { new: fresh, answered: None };
+                return FromTarget { new: fresh, ..FromTarget::default() };
             }
             SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
             _ => {}
         }
         let request = if seg.len > 0 { flow.request.take() } else { None };
-        FromTarget { new: false, answered: request.map(|since| now.since(since)) }
+        let answered = request.map(|since| now.since(since));
+        if let Some(took) = answered.filter(|_| flow.unqueued) {
+            self.work = (self.work * (WORK_SHARE - 1) + took) / WORK_SHARE;
+        }
+        FromTarget { new: false, answered, stray_reset }
+    }
+
+    /// Returns the time that the target takes for a request that does not wait.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        self.work
     }
 
     /// Forgets a flow that the target does not hold; returns whether it was known.
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -52,7 +52,7 @@
 }
 
 fn routes(revision: u64, service: &str) -> RouteTable {
-    let entry = RouteEntry { shares: vec![(tag(service), Weight(1))], former: Vec::new() };
+    let entry = RouteEntry { shares: vec![(tag(service), Weight(1))], ..RouteEntry::default() };
     RouteTable::new(Revision(revision), [(ROUTE.parse().unwrap(), entry)])
 }
 
@@ -171,7 +171,7 @@
     let passed = envelope(Errand::Place { passed: vec![ProcessId(2), ProcessId(3)] });
     let verdict = arrived(&mut gate, &open(6), &passed, known);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
-    // With three requests a slot the answer would come too late.
+    // Behind three rounds of work the answer would come too late.
     for port in 7..=15 {
         arrived(&mut gate, &open(port), &passed, known);
     }
@@ -439,3 +439,51 @@
     let verdict = arrived(&mut gate(), &request(1), &last, known);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
 }
+
+/// The aim of the route bounds the queue: the slower the target, the shorter it is.
+#[rstest]
+#[case::quick(20, 36)]
+#[case::usual(50, 15)]
+#[case::cold(80, 9)]
+#[case::slow(400, 5)]
+fn queue_bounded_by_aim(#[case] work_ms: u64, #[case] longest: u16) {
+    let agents = agents(&[member(1, "orders", MemberStatus::Serving)]);
+    let entry = RouteEntry {
+        shares: vec![(tag("orders"), Weight(1))],
+        latency_aim: Some(Duration::from_millis(200)),
+        ..RouteEntry::default()
+    };
+    let routes = RouteTable::new(Revision(1), [(ROUTE.parse().unwrap(), entry)]);
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    let mut now = NOW;
+    for _ in 0..100 {
+        gate.arrived(&open(1), &place(), known, now);
+        gate.answered(&accept(1), now);
+        gate.arrived(&request(1), &envelope(Errand::Deliver), known, now);
+        now = now + Duration::from_millis(work_ms);
+        gate.answered(&Segment { len: 10, ..segment(1, SegmentKind::Data) }, now);
+    }
+    let mut taken = 0;
+    for port in 100..200 {
+        let verdict = gate.arrived(&open(port), &place(), known, now);
+        taken += u16::from(matches!(verdict, Verdict::Deliver { .. }));
+    }
+    assert_eq!(taken, longest);
+}
+
+/// A target that has only answered the opening packet may not own the flow: the caller may have
+/// acknowledged another one, to which a copy went.
+#[test]
+fn reset_of_unowned_flow_held_back() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    let reset = segment(1, SegmentKind::Reset);
+    assert!(gate.answered(&reset, NOW).stray_reset);
+    assert!(gate.answered(&segment(2, SegmentKind::Reset), NOW).stray_reset, "unknown flow");
+    open_flow(&mut gate, 3, known);
+    arrived(&mut gate, &request(3), &envelope(Errand::Deliver), known);
+    assert!(!gate.answered(&segment(3, SegmentKind::Reset), NOW).stray_reset);
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -203,6 +203,13 @@
         if let Some(wait) = noted.answered {
             self.counters.answer_seconds.observe(wait.as_secs_f64());
         }
+        if seg.kind == SegmentKind::Reset {
+            let decided = if noted.stray_reset { "reset held back" } else { "reset passed on" };
+            self.log.flow(now, &seg.flow, decided, || "the target's own".to_owned());
+        }
+        if noted.stray_reset {
+            return self.counters.dropped.inc();
+        }
         self.counters.answered.inc();
         self.send_to_caller(&seg.flow, buf).await;
     }
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -25,7 +25,7 @@
 /// Wait after a failed call: an entry must be back within 2 s of the store's return.
 const RETRY: Duration = Duration::from_millis(800);
 /// How long a process tries the addresses in its settings before it looks for others in the store.
-const SETTINGS_FIRST: Duration = Duration::from_millis(250);
+const SETTINGS_FIRST: Duration = Duration::from_millis(120);
 /// Before this age a process does not know all others, and would take itself for a keeper too soon.
 const KEEPER_AGE: Duration = Duration::from_millis(1500);
 /// How often a process that is no keeper looks whether it is one now.
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -118,7 +118,10 @@
                 self.membership.update_me(change);
                 self.tick(now).await;
             }
-            Input::Seeds(seeds) => self.membership.add_seeds(seeds),
+            Input::Seeds(seeds) => {
+                self.membership.add_seeds(seeds);
+                self.sync_if_wanted();
+            }
             Input::Members(members) => {
                 for member in members {
                     self.membership.learn(member, now);
@@ -343,7 +346,7 @@
     }
 
     fn sync_if_wanted(&mut self) {
-        if let Some(peer) = self.membership.take_wants_sync() {
+        while let Some(peer) = self.membership.take_wants_sync() {
             self.sync_with(peer);
         }
     }
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -18,7 +18,7 @@
     store_task,
 };
 
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 const MAX_DATAGRAM: usize = 64 * 1024;
 const ADMIN_DEFAULT: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 0);
 
--- a/crates/dillmill-settings/src/route_tree.rs
+++ b/crates/dillmill-settings/src/route_tree.rs
@@ -106,7 +106,8 @@
     pub fn table(&self) -> RouteTable {
         let entry = |route: &Route| {
             let shares = route.shares.iter().map(|(name, weight)| (name.into(), *weight)).collect();
-            (route.address, RouteEntry { shares, former: Vec::new() })
+            let latency_aim = route.latency_aim.map(Interval::duration);
+            (route.address, RouteEntry { shares, former: Vec::new(), latency_aim })
         };
         RouteTable::new(self.revision, self.routes.iter().map(entry))
     }
