feat(flow): silent targets get nothing new, callers of an ended target are told; flows on real processes

Cause: a target that crashes says nothing, and its agent went on giving it new flows until heartbeats failed to come, which nothing looked at; callers that waited for an answer of an earlier run of a target waited until their deadline. Change: a target that leaves packets without any answer for 300 ms gets no new flow until it gives a sign of life; the first heartbeat of another run resets the flows of the earlier one.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -287,10 +287,24 @@
     }
 
     /// Another run of the target has begun: it holds no flow.
-    pub fn new_target(&mut self, service: ServiceTag) {
+    ///
+    /// Returns the flows that ended with the earlier run, with the numbers of the bytes that their callers
+    /// expect next. A caller that waits for an answer sends nothing, and would wait until its deadline.
+    pub fn new_target(&mut self, service: ServiceTag) -> Vec<(FlowTuple, u32)> {
         self.service = service;
         self.sees_all = true;
-        self.flows.clear();
+        self.flows.clear()
+    }
+
+    /// Notes a sign of life of the target.
+    pub fn heard(&mut self) {
+        self.flows.heard();
+    }
+
+    /// Returns whether the target answers nothing any more.
+    #[must_use]
+    pub fn target_silent(&self, now: Timestamp) -> bool {
+        self.flows.silent(now)
     }
 
     /// Returns what the target has to do.
@@ -307,8 +321,10 @@
 
     /// Returns whether the target takes new flows.
     #[must_use]
-    pub fn takes_new(&self) -> bool {
-        !self.stopping && matches!(self.standing, TargetStanding::Ready | TargetStanding::Unknown)
+    pub fn takes_new(&self, now: Timestamp) -> bool {
+        !self.stopping
+            && !self.target_silent(now)
+            && matches!(self.standing, TargetStanding::Ready | TargetStanding::Unknown)
     }
 
     /// Takes in the record of a flow of another agent.
@@ -356,7 +372,7 @@
             let reason = PassReason::OtherService;
             return self.pass_on(arrival, service, passed, reason).unwrap_or(Verdict::Drop);
         }
-        if !self.takes_new() {
+        if !self.takes_new(now) {
             let refused = self.refuse(RefuseReason::NoTarget, env, passed);
             return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
         }
@@ -503,6 +519,7 @@
             .and_then(|i| self.trials.get(i))
             .cloned()
             .flatten();
+        self.flows.heard();
         self.flows.forget(&seg.flow);
         match trial {
             Some(env) => self.after_trial(Arrival { seg, env: &env, known, now }),
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -19,6 +19,9 @@
 /// two round trips between data centres.
 const FIRST_REQUEST: Duration = Duration::from_millis(30);
 
+/// A living target answers each packet that wants an answer at once; the agent is beside it, so nothing
+/// but its own pauses comes between. A target that is silent for longer has crashed or stands still.
+const SILENCE_LIMIT: Duration = Duration::from_millis(300);
 /// Work of a request before any was seen: what requests take on the users' services.
 const FIRST_WORK: Duration = Duration::from_millis(50);
 /// Weight of a new observation of the work: some ten requests settle it.
@@ -39,6 +42,8 @@
     stage: Stage,
     target_seq: Option<u32>,
     taken: Timestamp,
+    /// Number of the byte that the caller expects next.
+    caller_expects: u32,
     /// When the request that has had no answer yet began.
     request: Option<Timestamp>,
     /// It began while a slot was free, so that its time is that of the work alone.
@@ -74,11 +79,13 @@
     flows: Generations<FlowTuple, TargetFlow>,
     /// Time that the target takes for a request that does not wait, smoothed.
     work: Duration,
+    /// Since when the target has left every packet without an answer.
+    unheard: Option<Timestamp>,
 }
 
 impl Default for TargetFlows {
     fn default() -> Self {
-        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY), work: FIRST_WORK }
+        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY), work: FIRST_WORK, unheard: None }
     }
 }
 
@@ -92,9 +99,11 @@
             stage: Stage::Opening,
             target_seq: None,
             taken: now,
+            caller_expects: 0,
             request: None,
             unqueued: false,
         };
+        self.unheard.get_or_insert(now);
         self.flows.insert(flow, opening, now);
     }
 
@@ -110,6 +119,10 @@
             }
             flow.stage = Stage::Open;
         }
+        flow.caller_expects = seg.ack;
+        if seg.len > 0 {
+            self.unheard.get_or_insert(now);
+        }
         match seg.kind {
             SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
             _ if seg.len > 0 && flow.request.is_none() => {
@@ -121,8 +134,20 @@
         Fit::Ours
     }
 
+    /// Notes a sign of life of the target.
+    pub fn heard(&mut self) {
+        self.unheard = None;
+    }
+
+    /// Returns whether the target has left all packets without an answer for too long.
+    #[must_use]
+    pub fn silent(&self, now: Timestamp) -> bool {
+        self.unheard.is_some_and(|since| now.since(since) >= SILENCE_LIMIT)
+    }
+
     /// Takes in a packet of the target.
     pub fn note_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
+        self.heard();
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else {
             if seg.kind == SegmentKind::Reset {
                 return FromTarget { stray_reset: true, ..FromTarget::default() };
@@ -132,6 +157,7 @@
                 stage: if accept { Stage::Opening } else { Stage::Open },
                 target_seq: accept.then_some(seg.seq),
                 taken: now,
+                caller_expects: seg.seq,
                 request: None,
                 unqueued: false,
             };
@@ -167,9 +193,14 @@
         self.flows.remove(flow).is_some()
     }
 
-    /// Forgets all flows: another run of the target has taken its place.
-    pub fn clear(&mut self) {
+    /// Forgets all flows, as another run of the target has taken its place, and returns those that were
+    /// open, with the number of the byte that the caller expects next.
+    pub fn clear(&mut self) -> Vec<(FlowTuple, u32)> {
+        let open = self.flows.iter().filter(|(_, flow)| flow.stage == Stage::Open);
+        let lost = open.map(|(tuple, flow)| (*tuple, flow.caller_expects)).collect();
         self.flows.clear();
+        self.heard();
+        lost
     }
 
     /// Returns the open flows, with the number with which the target began.
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -487,3 +487,33 @@
     arrived(&mut gate, &request(3), &envelope(Errand::Deliver), known);
     assert!(!gate.answered(&segment(3, SegmentKind::Reset), NOW).stray_reset);
 }
+
+/// A target that answers nothing gets no new flow until it gives a sign of life.
+#[test]
+fn silent_target_gets_nothing_new() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    arrived(&mut gate, &open(1), &place(), known);
+    let later = NOW + Duration::from_millis(400);
+    assert!(gate.target_silent(later));
+    let verdict = gate.arrived(&open(2), &place(), known, later);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Leaving, .. }), "{verdict:?}");
+    gate.heard();
+    let verdict = gate.arrived(&open(3), &place(), known, later);
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+    gate.answered(&accept(3), later);
+    assert!(!gate.target_silent(later + Duration::from_secs(9)), "nothing waits for it");
+}
+
+/// Callers whose flows ended with a run of the target are told, with the number that they expect.
+#[test]
+fn flows_of_an_ended_target_listed() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    open_flow(&mut gate, 2, known);
+    assert_eq!(gate.new_target(tag("orders")), [(flow(1), TARGET_SEQ + 1)]);
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -85,6 +85,7 @@
     registrations: Registrations,
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
+    silent: bool,
     stopping: Option<(StopRequest, Timestamp)>,
 }
 
@@ -121,6 +122,7 @@
             registrations: Registrations::default(),
             origins: HashMap::new(),
             run: None,
+            silent: false,
             stopping: None,
         }
     }
@@ -149,7 +151,7 @@
                 Event::FromNetwork(buf) => self.take_from_network(buf, now).await,
                 Event::FromTarget(buf) => self.take_from_target(buf, now).await,
                 Event::Flow(from, message) => self.message(from, message, now),
-                Event::Call(call) => self.call(call),
+                Event::Call(call) => self.call(call, now).await,
                 Event::Stop(request) => self.stop(request, now),
                 Event::Tick => self.tick(now),
             }
@@ -324,7 +326,7 @@
 
     fn report(&self, now: Timestamp) -> LoadReport {
         let load = self.gate.load(now);
-        let slots = if self.gate.takes_new() { self.gate.slots() } else { 0 };
+        let slots = if self.gate.takes_new(now) { self.gate.slots() } else { 0 };
         let in_use = load.requests.min(u32::from(self.gate.slots()));
         let count = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
         LoadReport {
@@ -379,6 +381,7 @@
         for balancer in due {
             self.report_to(balancer, now);
         }
+        self.watch_silence(now);
         self.finish_stop(now);
     }
 
@@ -397,15 +400,16 @@
         }
     }
 
-    fn call(&mut self, call: EndpointCall) {
+    async fn call(&mut self, call: EndpointCall, now: Timestamp) {
         match call {
             EndpointCall::Ready(tx) => {
-                let ready = self.gate.takes_new() && !self.routes.is_empty();
+                let ready = self.gate.takes_new(now) && !self.routes.is_empty();
                 let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
             }
             EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
-                self.heartbeat(&id, &heartbeat);
+                let lost = self.heartbeat(&id, &heartbeat);
                 let _ = tx.send(Accepted::Yes);
+                self.reset_lost(lost, now).await;
             }
             EndpointCall::Target(TargetCall::Leave { id }, tx) => {
                 if self.run.as_ref().is_none_or(|run| run.id == id) {
@@ -419,18 +423,24 @@
         }
     }
 
-    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) {
-        let known = self.run.as_ref().is_some_and(|run| run.id == id);
-        let late = self
-            .run
-            .as_ref()
-            .is_some_and(|run| run.id == id && heartbeat.number <= run.last_number);
-        if late {
-            return;
-        }
-        if !known {
-            self.new_run(id, heartbeat);
+    /// Tells the callers whose flows have ended with a run of the target.
+    async fn reset_lost(&mut self, lost: Vec<(FlowTuple, u32)>, now: Timestamp) {
+        for (flow, caller_expects) in lost {
+            self.log.flow(now, &flow, "reset", || "its target has ended".to_owned());
+            self.send_to_caller(&flow, packet::reset(&flow, caller_expects).to_vec()).await;
         }
+    }
+
+    /// Takes a heartbeat in; returns the flows that ended with an earlier run of the target.
+    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
+        let same = self.run.as_ref().filter(|run| run.id == id);
+        let lost = match same.map(|run| run.last_number) {
+            // A late one must not bring an earlier state back.
+            Some(last) if heartbeat.number <= last => return Vec::new(),
+            Some(_) => Vec::new(),
+            None => self.new_run(id, heartbeat),
+        };
+        self.gate.heard();
         self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
@@ -438,26 +448,45 @@
         };
         let cause = format!("heartbeat {}", heartbeat.number);
         self.set_standing(standing, heartbeat.slots, id, &cause);
+        lost
     }
 
     /// Takes in the first heartbeat of a run of the target.
-    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) {
+    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
         let first = self.run.is_none();
-        // A target whose first heartbeat came here has started after this agent did.
-        if !first || heartbeat.number <= 1 {
-            self.gate.new_target(ServiceTag::from(&heartbeat.service));
-        }
-        if heartbeat.service != self.service {
+        let what = format!("target {id} of {}", heartbeat.service);
+        let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
+        self.handle.journal.record(EventKind::Member, what, cause);
+        let other_service = heartbeat.service != self.service;
+        if other_service {
             let what = format!("service {} -> {}", self.service, heartbeat.service);
             self.handle.journal.record(EventKind::Member, what, format!("heartbeat of {id}"));
             self.service = heartbeat.service.clone();
-            self.gate.new_target(ServiceTag::from(&self.service));
             let service = self.service.clone();
             self.handle.update_me(move |me| me.role = Role::Agent(service));
         }
-        let what = format!("target {id} of {}", heartbeat.service);
-        let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
-        self.handle.journal.record(EventKind::Member, what, cause);
+        // A target whose first heartbeat came here has started after this agent did.
+        if !first || other_service || heartbeat.number <= 1 {
+            return self.gate.new_target(ServiceTag::from(&self.service));
+        }
+        Vec::new()
+    }
+
+    /// Says so when the target falls silent, and when it speaks again.
+    fn watch_silence(&mut self, now: Timestamp) {
+        let silent = self.gate.target_silent(now);
+        if silent == self.silent {
+            return;
+        }
+        self.silent = silent;
+        let what = if silent { "target silent" } else { "target answers again" };
+        let standing = self.gate.standing();
+        self.handle.journal.record(EventKind::Member, what, format!("standing {standing:?}"));
+        if silent {
+            self.handle.leave();
+        } else if self.gate.takes_new(now) && standing == TargetStanding::Ready {
+            self.handle.serve();
+        }
     }
 
     fn set_standing(&mut self, standing: TargetStanding, slots: u16, id: &str, cause: &str) {
--- /dev/null
+++ b/crates/dillmill-standins/src/flow_caller.rs
@@ -0,0 +1,174 @@
+//! A caller of packet flows.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::net::UdpSocket;
+use compio::runtime::JoinHandle;
+use dillmill_core::{FlowTuple, Segment, SegmentKind};
+use dillmill_platform::packet::{self, HEAD_LEN, Sender};
+
+use crate::StandinError;
+use crate::flow_router::FlowRouter;
+
+const MAX_DATAGRAM: usize = 2048;
+const FIRST_PORT: u16 = 1024;
+/// When the copies of an opening packet follow, and when the caller gives up.
+const OPEN_WAITS: [Duration; 3] =
+    [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(800)];
+/// Waits between the tries of a request.
+const REQUEST_WAITS: [u64; 6] = [200, 200, 400, 800, 1600, 1600];
+
+type Inbox = flume::Sender<(Segment, Vec<u8>)>;
+
+/// How a flow ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FlowEnd {
+    /// It was reset.
+    Reset,
+    /// Nothing came.
+    Silent,
+}
+
+/// A host of callers; it ends when it is dropped.
+pub struct FlowCaller {
+    ip: Ipv4Addr,
+    socket: UdpSocket,
+    router: Rc<FlowRouter>,
+    inboxes: Rc<RefCell<HashMap<FlowTuple, Inbox>>>,
+    next_port: Cell<u16>,
+    _task: JoinHandle<()>,
+}
+
+impl FlowCaller {
+    /// Binds the host's address; `port` is that of the balancers' packets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be bound.
+    pub async fn spawn(
+        ip: Ipv4Addr,
+        port: u16,
+        router: Rc<FlowRouter>,
+    ) -> Result<Self, StandinError> {
+        let addr = SocketAddrV4::new(ip, port);
+        let socket =
+            UdpSocket::bind(addr).await.map_err(StandinError::at(format!("bind caller {addr}")))?;
+        let inboxes: Rc<RefCell<HashMap<FlowTuple, Inbox>>> = Rc::default();
+        let task = compio::runtime::spawn(take_packets(socket.clone(), inboxes.clone()));
+        let next_port = Cell::new(FIRST_PORT);
+        Ok(Self { ip, socket, router, inboxes, next_port, _task: task })
+    }
+
+    /// Opens a flow to `route`.
+    ///
+    /// # Errors
+    ///
+    /// Says how it ended instead.
+    pub async fn open(&self, route: SocketAddrV4) -> Result<OpenFlow<'_>, FlowEnd> {
+        let port = self.next_port.get();
+        self.next_port.set(port + 1);
+        let flow = FlowTuple::new(SocketAddrV4::new(self.ip, port), route);
+        let (tx, rx) = flume::unbounded();
+        self.inboxes.borrow_mut().insert(flow, tx);
+        for (copies, wait) in (0..).zip(OPEN_WAITS) {
+            let kind = SegmentKind::Open { copies };
+            self.send(&Segment { flow, kind, seq: 1, ack: copies, ..blank(flow) }, b"").await;
+            let Ok(Ok((seg, _))) = compio::time::timeout(wait, rx.recv_async()).await else {
+                continue;
+            };
+            if seg.kind == SegmentKind::Reset {
+                return Err(FlowEnd::Reset);
+            }
+            let open = OpenFlow { caller: self, flow, rx, seq: 2, ack: seg.seq.wrapping_add(1) };
+            self.send(&Segment { seq: 2, ack: open.ack, ..blank(flow) }, b"").await;
+            return Ok(open);
+        }
+        Err(FlowEnd::Silent)
+    }
+
+    async fn send(&self, seg: &Segment, data: &[u8]) {
+        let buf = packet::encode(seg, Sender::Caller, data);
+        self.router.send(&self.socket, &seg.flow, buf).await;
+    }
+}
+
+fn blank(flow: FlowTuple) -> Segment {
+    Segment { flow, kind: SegmentKind::Data, seq: 0, ack: 0, len: 0, returned: false, mark: 0 }
+}
+
+async fn take_packets(socket: UdpSocket, inboxes: Rc<RefCell<HashMap<FlowTuple, Inbox>>>) {
+    loop {
+        let BufResult(outcome, buf) = socket.recv_from(Vec::with_capacity(MAX_DATAGRAM)).await;
+        if outcome.is_err() {
+            continue;
+        }
+        let Ok(seg) = packet::decode(&buf, Sender::Target) else { continue };
+        if let Some(tx) = inboxes.borrow().get(&seg.flow) {
+            // Fails only for a flow that is not waited for any more.
+            let _ = tx.send((seg, buf[HEAD_LEN..].to_vec()));
+        }
+    }
+}
+
+/// An open flow.
+pub struct OpenFlow<'a> {
+    caller: &'a FlowCaller,
+    flow: FlowTuple,
+    rx: flume::Receiver<(Segment, Vec<u8>)>,
+    seq: u32,
+    ack: u32,
+}
+
+impl OpenFlow<'_> {
+    /// Sends a request and returns the name of the target that has answered.
+    ///
+    /// # Errors
+    ///
+    /// Says how the flow ended instead.
+    pub async fn request(&mut self) -> Result<String, FlowEnd> {
+        const REQUEST: &[u8] = b"who are you?";
+        for wait in REQUEST_WAITS {
+            let seg = Segment { seq: self.seq, ack: self.ack, ..blank(self.flow) };
+            self.caller.send(&seg, REQUEST).await;
+            let wait = Duration::from_millis(wait);
+            if let Ok(end) = compio::time::timeout(wait, self.answer()).await {
+                return end;
+            }
+        }
+        Err(FlowEnd::Silent)
+    }
+
+    /// Waits for a reset that no request has asked for.
+    pub async fn reset_within(&mut self, limit: Duration) -> bool {
+        let wait = async {
+            while let Ok((seg, _)) = self.rx.recv_async().await {
+                if seg.kind == SegmentKind::Reset {
+                    return;
+                }
+            }
+        };
+        compio::time::timeout(limit, wait).await.is_ok()
+    }
+
+    async fn answer(&mut self) -> Result<String, FlowEnd> {
+        let expected = self.seq.wrapping_add(12);
+        while let Ok((seg, data)) = self.rx.recv_async().await {
+            match seg.kind {
+                SegmentKind::Reset => return Err(FlowEnd::Reset),
+                // Copies of answers to earlier tries are not this one's.
+                SegmentKind::Data if seg.ack == expected => {
+                    self.seq = expected;
+                    self.ack = seg.seq.wrapping_add(u32::from(seg.len));
+                    return Ok(String::from_utf8_lossy(&data).into_owned());
+                }
+                _ => {}
+            }
+        }
+        Err(FlowEnd::Silent)
+    }
+}
--- /dev/null
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -0,0 +1,161 @@
+//! A target of packet flows: answers requests, gives back what it does not hold, sends heartbeats.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::buf::BufResult;
+use compio::net::UdpSocket;
+use compio::runtime::JoinHandle;
+use cyper::Client;
+use dillmill_core::{FlowTuple, Segment, SegmentKind, ServiceName};
+use dillmill_platform::endpoint::TARGET_PATH;
+use dillmill_platform::packet::{self, Sender};
+use dillmill_platform::{Heartbeat, ProcessSettings, TargetState};
+use rand::Rng;
+
+use crate::StandinError;
+
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
+const MAX_DATAGRAM: usize = 2048;
+
+#[derive(Debug)]
+struct State {
+    id: String,
+    service: ServiceName,
+    says: TargetState,
+    /// The number with which each flow began here.
+    flows: HashMap<FlowTuple, u32>,
+    opened: u64,
+    acknowledged: Option<TargetState>,
+}
+
+/// A running target; it ends when it is dropped.
+pub struct FlowTarget {
+    state: Rc<RefCell<State>>,
+    _tasks: [JoinHandle<()>; 2],
+}
+
+impl FlowTarget {
+    /// Starts the target beside the agent with `settings`; `id` names this run of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its address can't be bound.
+    pub async fn spawn(settings: &ProcessSettings, id: &str) -> Result<Self, StandinError> {
+        let step = format!("start target {id}");
+        let missing = || StandinError::new(step.clone(), "the settings lack an address");
+        let app = settings.target.ok_or_else(missing)?;
+        let outbound = settings.from_target.ok_or_else(missing)?;
+        let heartbeats = settings.heartbeats.ok_or_else(missing)?;
+        let service = settings.service.clone().ok_or_else(missing)?;
+        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step))?;
+        let state = Rc::new(RefCell::new(State {
+            id: id.to_owned(),
+            service,
+            says: TargetState::Ready,
+            flows: HashMap::new(),
+            opened: 0,
+            acknowledged: None,
+        }));
+        let packets = take_packets(socket, SocketAddr::V4(outbound), state.clone());
+        let url = format!("http://{heartbeats}{TARGET_PATH}/{id}");
+        let tasks = [
+            compio::runtime::spawn(packets),
+            compio::runtime::spawn(send_heartbeats(url, state.clone())),
+        ];
+        Ok(Self { state, _tasks: tasks })
+    }
+
+    /// Says with the next heartbeat that it leaves.
+    pub fn drain(&self) {
+        self.state.borrow_mut().says = TargetState::Draining;
+    }
+
+    /// Returns whether its agent has acknowledged that it leaves.
+    #[must_use]
+    pub fn drain_acknowledged(&self) -> bool {
+        self.state.borrow().acknowledged == Some(TargetState::Draining)
+    }
+
+    /// Returns the number of flows that callers have opened here.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.state.borrow().opened
+    }
+}
+
+async fn take_packets(socket: UdpSocket, outbound: SocketAddr, state: Rc<RefCell<State>>) {
+    loop {
+        let BufResult(outcome, buf) = socket.recv_from(Vec::with_capacity(MAX_DATAGRAM)).await;
+        if outcome.is_err() {
+            continue;
+        }
+        let Some(answer) = state.borrow_mut().take(buf) else { continue };
+        // A datagram that can't be sent is as one that was lost.
+        let BufResult(_, _) = socket.send_to(answer, outbound).await;
+    }
+}
+
+impl State {
+    /// Takes a packet and returns the one to send, if any.
+    fn take(&mut self, mut buf: Vec<u8>) -> Option<Vec<u8>> {
+        let seg = packet::decode(&buf, Sender::Caller).ok()?;
+        let held = self.flows.get(&seg.flow).copied();
+        match (seg.kind, held) {
+            (SegmentKind::Open { .. }, known) => {
+                let began = known.unwrap_or_else(|| rand::rng().random());
+                self.flows.insert(seg.flow, began);
+                Some(answer(&seg, SegmentKind::Accept, began, seg.seq.wrapping_add(1), b""))
+            }
+            (SegmentKind::Data, Some(began)) if seg.len > 0 => {
+                let ack = seg.seq.wrapping_add(u32::from(seg.len));
+                Some(answer(&seg, SegmentKind::Data, seg.ack.max(began), ack, self.id.as_bytes()))
+            }
+            (SegmentKind::Data, Some(_)) => {
+                self.opened += 1;
+                None
+            }
+            (SegmentKind::Finish | SegmentKind::Reset, Some(_)) => {
+                self.flows.remove(&seg.flow);
+                None
+            }
+            (_, None) => {
+                packet::give_back(&mut buf);
+                Some(buf)
+            }
+            (SegmentKind::Accept, Some(_)) => None,
+        }
+    }
+}
+
+fn answer(seg: &Segment, kind: SegmentKind, seq: u32, ack: u32, data: &[u8]) -> Vec<u8> {
+    let seg = Segment { kind, seq, ack, ..*seg };
+    packet::encode(&seg, Sender::Target, data)
+}
+
+async fn send_heartbeats(url: String, state: Rc<RefCell<State>>) {
+    let Ok(client) = Client::new() else { return };
+    for number in 1.. {
+        let heartbeat = {
+            let state = state.borrow();
+            Heartbeat {
+                service: state.service.clone(),
+                slots: 5,
+                state: state.says,
+                cold_ms: 0,
+                number,
+            }
+        };
+        let sent = client.put(&url).and_then(|req| req.json(&heartbeat));
+        if let Ok(req) = sent
+            && let Ok(Ok(res)) = compio::time::timeout(HEARTBEAT_EVERY * 5, req.send()).await
+            && res.status().is_success()
+        {
+            state.borrow_mut().acknowledged = Some(heartbeat.state);
+        }
+        compio::time::sleep(HEARTBEAT_EVERY).await;
+    }
+}
--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Not published. [`platform`], [`fabric`], [`target`] and [`caller`] take the place of the
 //! platform, the fabric, the targets and the callers; [`cluster`] runs them and dillmill's own
-//! programs as processes on loopback; [`demo`] and [`load`] use such a cluster.
+//! programs as processes on loopback; [`flow_fleet`], [`flow_target`], [`flow_caller`] and
+//! [`flow_router`] do the same for packet flows; [`demo`] and [`load`] use such a cluster.
 
 pub mod caller;
 pub mod cluster;
@@ -10,6 +11,10 @@
 pub mod demo;
 pub mod error;
 pub mod fabric;
+pub mod flow_caller;
+pub mod flow_fleet;
+pub mod flow_router;
+pub mod flow_target;
 pub mod forwarder;
 pub mod idle;
 pub mod load;
@@ -27,3 +32,5 @@
 pub use caller::{Answer, Caller};
 pub use cluster::{Cluster, ClusterSpec, ServiceSpec};
 pub use error::StandinError;
+pub use flow_caller::{FlowCaller, FlowEnd, OpenFlow};
+pub use flow_fleet::FlowFleet;
--- a/crates/dillmill-standins/src/process.rs
+++ b/crates/dillmill-standins/src/process.rs
@@ -41,6 +41,21 @@
         program: &Path,
         args: &[String],
         dir: &Path,
+    ) -> Result<Self, StandinError> {
+        Self::spawn_with(name, program, args, &[], dir)
+    }
+
+    /// As [`Process::spawn`], with variables of the environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn spawn_with(
+        name: &str,
+        program: &Path,
+        args: &[String],
+        env: &[(&str, &Path)],
+        dir: &Path,
     ) -> Result<Self, StandinError> {
         let log = dir.join(format!("{name}.log"));
         let step = || format!("start {name}");
@@ -52,6 +67,7 @@
         let err = out.try_clone().map_err(StandinError::at(step()))?;
         let child = Command::new(program)
             .args(args)
+            .envs(env.iter().copied())
             .stdin(Stdio::null())
             .stdout(out)
             .stderr(err)
@@ -105,6 +121,15 @@
         self.signal("CONT")
     }
 
+    /// Tells it that its settings file has changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is gone.
+    pub fn hang_up(&self) -> Result<(), StandinError> {
+        self.signal("HUP")
+    }
+
     /// Asks it to stop as planned.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -0,0 +1,170 @@
+//! Packet flows through real processes: what callers see while balancers, agents, targets, settings
+//! and the store change.
+
+use std::time::Duration;
+
+use dillmill_standins::flow_fleet::wait;
+use dillmill_standins::platform::PlatformFaults;
+use dillmill_standins::{FlowCaller, FlowEnd, FlowFleet, OpenFlow, StandinError};
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+fn on_runtime(test: impl Future<Output = Result<(), StandinError>>) {
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    runtime.block_on(test).unwrap();
+}
+
+/// Opens flows until `n` are open; tries that end are made again, as callers do.
+async fn open<'a>(caller: &'a FlowCaller, fleet: &FlowFleet, n: usize) -> Vec<OpenFlow<'a>> {
+    let mut flows = Vec::new();
+    for _ in 0..n * 10 {
+        if let Ok(flow) = caller.open(fleet.route()).await {
+            flows.push(flow);
+        }
+        if flows.len() == n {
+            return flows;
+        }
+    }
+    panic!("{} of {n} flows open", flows.len());
+}
+
+/// Asks on every flow, and returns who answered.
+async fn ask(flows: &mut [OpenFlow<'_>]) -> Vec<Result<String, FlowEnd>> {
+    let mut answers = Vec::new();
+    for flow in flows {
+        answers.push(flow.request().await);
+    }
+    answers
+}
+
+#[test]
+fn flows_survive_balancers() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(3, &[("orders", 3)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 12).await;
+        let owners = ask(&mut flows).await;
+        assert!(owners.iter().all(Result::is_ok), "{owners:?}");
+        fleet.kill("balancer-2")?;
+        assert_eq!(ask(&mut flows).await, owners, "after a kill");
+        fleet.run("balancer-2")?;
+        wait(LIMIT, "the balancer's return", || fleet.router().ready() == 3).await?;
+        assert_eq!(ask(&mut flows).await, owners, "after its return");
+        assert!(fleet.stop("balancer-1").await?);
+        assert_eq!(ask(&mut flows).await, owners, "after a planned stop");
+        Ok(())
+    });
+}
+
+#[test]
+fn flows_survive_agents() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(2, &[("orders", 3)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 12).await;
+        let owners = ask(&mut flows).await;
+        for n in 1..=3 {
+            fleet.kill(&format!("orders-{n}"))?;
+        }
+        fleet.kill("balancer-1")?;
+        for n in 1..=3 {
+            fleet.run(&format!("orders-{n}"))?;
+        }
+        fleet.run("balancer-1")?;
+        assert_eq!(ask(&mut flows).await, owners);
+        Ok(())
+    });
+}
+
+#[test]
+fn leaving_target_gets_nothing_new() {
+    on_runtime(async {
+        let fleet = FlowFleet::start(2, &[("orders", 3)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 9).await;
+        let owners = ask(&mut flows).await;
+        let leaving = fleet.target("orders-1")?;
+        leaving.drain();
+        wait(LIMIT, "the acknowledgement", || leaving.drain_acknowledged()).await?;
+        let opened = leaving.opened();
+        let mut later = open(&caller, &fleet, 20).await;
+        let answers = ask(&mut later).await;
+        assert!(answers.iter().all(|a| a.as_ref().is_ok_and(|id| id != "orders-1")), "{answers:?}");
+        assert_eq!(leaving.opened(), opened);
+        assert_eq!(ask(&mut flows).await, owners, "open flows stay");
+        Ok(())
+    });
+}
+
+#[test]
+fn route_moves_for_new_flows_only() {
+    on_runtime(async {
+        let fleet = FlowFleet::start(2, &[("orders", 2), ("labels", 2)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 6).await;
+        let owners = ask(&mut flows).await;
+        assert!(owners.iter().all(|a| a.as_ref().is_ok_and(|id| id.starts_with("orders"))));
+        fleet.set_route(5, "labels").await?;
+        compio::time::sleep(Duration::from_secs(3)).await;
+        let mut later = open(&caller, &fleet, 12).await;
+        let answers = ask(&mut later).await;
+        assert!(
+            answers.iter().all(|a| a.as_ref().is_ok_and(|id| id.starts_with("labels"))),
+            "{answers:?}"
+        );
+        assert_eq!(ask(&mut flows).await, owners, "open flows stay");
+        Ok(())
+    });
+}
+
+#[test]
+fn store_outage_changes_nothing() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(2, &[("orders", 2)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 6).await;
+        let owners = ask(&mut flows).await;
+        fleet.store_faults(&PlatformFaults { down: true, ..PlatformFaults::default() }).await?;
+        // A process that starts meanwhile learns everything from its peers.
+        fleet.kill("balancer-2")?;
+        fleet.run("balancer-2")?;
+        wait(LIMIT, "the balancer's return", || fleet.router().ready() == 2).await?;
+        assert_eq!(ask(&mut flows).await, owners);
+        open(&caller, &fleet, 6).await;
+        Ok(())
+    });
+}
+
+#[test]
+fn flows_of_an_ended_target_reset() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(2, &[("orders", 2)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 6).await;
+        let owners = ask(&mut flows).await;
+        fleet.run_target("orders-1", "orders-1-again").await?;
+        for (flow, owner) in flows.iter_mut().zip(&owners) {
+            let lost = owner.as_ref().is_ok_and(|id| id == "orders-1");
+            assert_eq!(flow.reset_within(Duration::from_secs(2)).await, lost, "{owner:?}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn hang_up_reads_the_file_again() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(1, &[("orders", 1)]).await?;
+        for name in ["balancer-1", "orders-1", "balancer-1", "balancer-1"] {
+            fleet.hang_up(name)?;
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let log = fleet.log("balancer-1")?;
+        assert!(log.contains("settings file read"), "{log}");
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 2).await;
+        assert!(ask(&mut flows).await.iter().all(Result::is_ok));
+        Ok(())
+    });
+}
