feat(flow): full targets stay near, uploads too; nobody enters the store young

Change: a full target passes new flows to near siblings only while the aim allows the wait; the bytes that callers send in a service's flows weigh against far agents; a process younger than 1.5 s only reads the store, and waits longer when the whole system starts for the first time.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -58,8 +58,10 @@
     OtherService,
     /// The target is leaving or gone.
     Leaving,
-    /// The target has no free slot.
+    /// The target has no free slot; another one near may have.
     Full,
+    /// The target has more to do than it can in time; any other may have less.
+    Crowded,
     /// The target gave the packet back.
     Returned,
     /// A directory entry names the owner.
@@ -376,15 +378,17 @@
             let refused = self.refuse(RefuseReason::NoTarget, env, passed);
             return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
         }
-        let (requests, slots) = (self.load(now).requests, u32::from(self.slots));
-        if requests >= slots
-            && passed.len() < PLACE_HOPS
-            && let Some(verdict) = self.pass_on(arrival, service, passed, PassReason::Full)
-        {
-            return verdict;
-        }
-        if requests >= slots && self.is_late(requests, arrival) {
-            return self.refuse(RefuseReason::Crowded, env, passed);
+        let requests = self.load(now).requests;
+        if requests >= u32::from(self.slots) {
+            let late = self.is_late(requests, arrival);
+            let hops = passed.len() < PLACE_HOPS;
+            // Bytes between data centres cost, so a wait that the aim allows stays in this one.
+            if hops && let Some(verdict) = self.pass_on(arrival, service, passed, reach_of(late)) {
+                return verdict;
+            }
+            if late {
+                return self.refuse(RefuseReason::Crowded, env, passed);
+            }
         }
         self.flows.opening(seg.flow, copies, now);
         // The balancer knows only the agent that it chose itself.
@@ -419,7 +423,9 @@
         let fresh =
             |a: &&AgentEntry| a.process != self.me && !passed.contains(&a.process) && a.slots > 0;
         let rank = |a: &&AgentEntry| (a.near, seg.flow.score(a.process.0));
-        let next = known.agents.serving(service).filter(fresh).max_by_key(rank)?;
+        let reached = |a: &&AgentEntry| a.near || reason != PassReason::Full;
+        let open = known.agents.serving(service).filter(fresh);
+        let next = open.filter(reached).max_by_key(rank)?;
         let record = FlowRecord {
             flow: seg.flow,
             target_seq: None,
@@ -562,6 +568,11 @@
     }
 }
 
+/// Returns why a full target's flow goes on, and with that how far.
+fn reach_of(late: bool) -> PassReason {
+    if late { PassReason::Crowded } else { PassReason::Full }
+}
+
 /// Returns the service of a new flow: what the balancer said, unless newer settings say otherwise.
 fn service_now(seg: &Segment, env: &Envelope, routes: &RouteTable) -> Option<ServiceTag> {
     if routes.revision <= env.revision {
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -22,6 +22,13 @@
 /// Load in use that a flow is sent to another data centre to avoid, in thousandths of the slots:
 /// one and a half of five slots. Bytes between data centres cost, a wait costs more.
 const FAR_PENALTY: u32 = 350;
+/// Bytes of callers in a flow that weigh as much as a thousandth of the slots when they go to another data
+/// centre: an upload of 40 kB stays unless all near targets are a full round behind.
+const FAR_BYTES: u64 = 40;
+/// Most that the bytes of a flow add, in thousandths of the slots.
+const FAR_BYTES_MAX: u64 = 3000;
+/// Flows over which the bytes of a flow are averaged.
+const BYTES_WINDOW: u64 = 64;
 /// Load added to an agent that does not answer, in thousandths of its slots. Not without bound: after a
 /// restart of everything most agents are late, and all flows would meet at the one that is not.
 const SILENT_PENALTY: u32 = 1500;
@@ -40,10 +47,18 @@
     control: SocketAddrV4,
 }
 
+/// Bytes that callers send in the flows of a service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Volume {
+    bytes: u64,
+    flows: u64,
+}
+
 /// What a balancer knows of the load of agents.
 #[derive(Debug, Default)]
 pub struct FlowPlacement {
     loads: HashMap<ProcessId, Load>,
+    volumes: HashMap<ServiceTag, Volume>,
 }
 
 impl FlowPlacement {
@@ -56,6 +71,28 @@
         }
     }
 
+    /// Counts bytes that a caller sends in a flow of `service`.
+    pub fn count_bytes(&mut self, service: ServiceTag, bytes: u64) {
+        self.volumes.entry(service).or_default().bytes += bytes;
+    }
+
+    fn count_flow(&mut self, service: ServiceTag) {
+        let volume = self.volumes.entry(service).or_default();
+        volume.flows += 1;
+        if volume.flows >= BYTES_WINDOW {
+            volume.flows /= 2;
+            volume.bytes /= 2;
+        }
+    }
+
+    /// Returns what a flow of `service` to another data centre must save there, in thousandths of the slots.
+    fn far_penalty(&self, service: ServiceTag) -> u32 {
+        let volume = self.volumes.get(&service).copied().unwrap_or_default();
+        let bytes = volume.bytes / volume.flows.max(1);
+        let weight = (bytes / FAR_BYTES).min(FAR_BYTES_MAX);
+        FAR_PENALTY + u32::try_from(weight).unwrap_or(0)
+    }
+
     /// Takes in a new table of agents.
     pub fn retain(&mut self, agents: &AgentTable) {
         self.loads.retain(|process, _| agents.get(*process).is_some());
@@ -113,6 +150,7 @@
             .filter(|a| Some(a.process) != not)
             .min_by_key(cost)
             .or_else(|| open().min_by_key(cost))?;
+        self.count_flow(service);
         if let Some(load) = self.loads.get_mut(&best.process) {
             load.sent += 1;
             load.unanswered.get_or_insert(now);
@@ -121,7 +159,7 @@
     }
 
     fn cost(&self, agent: &AgentEntry, now: Timestamp) -> u32 {
-        let far = if agent.near { 0 } else { FAR_PENALTY };
+        let far = if agent.near { 0 } else { self.far_penalty(agent.service) };
         let silent = if self.silent(agent.process, now) { SILENT_PENALTY } else { 0 };
         let Some(load) = self.loads.get(&agent.process) else { return far };
         let report = load.report;
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -517,3 +517,20 @@
     open_flow(&mut gate, 2, known);
     assert_eq!(gate.new_target(tag("orders")), [(flow(1), TARGET_SEQ + 1)]);
 }
+
+/// A full target asks its neighbours; targets in other data centres only when an answer would be late.
+#[test]
+fn full_target_stays_near() {
+    let mut members = [1, 2].map(|n| member(n, "orders", MemberStatus::Serving));
+    members[1].zone = "zone-2".parse().unwrap();
+    let (agents, routes) = (agents(&members), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    for port in 1..=14 {
+        let verdict = arrived(&mut gate, &open(port), &place(), known);
+        assert!(matches!(verdict, Verdict::Deliver { .. }), "flow {port}: {verdict:?}");
+    }
+    arrived(&mut gate, &open(15), &place(), known);
+    let verdict = arrived(&mut gate, &open(16), &place(), known);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Crowded, .. }), "{verdict:?}");
+}
--- a/crates/dillmill-core/tests/flow_placements.rs
+++ b/crates/dillmill-core/tests/flow_placements.rs
@@ -157,3 +157,19 @@
     }
     assert!(counts[4] < 40, "{counts:?}");
 }
+
+/// Flows that carry many bytes stay near longer.
+#[test]
+fn uploads_stay_near() {
+    let agents = table(&["near", "far"]);
+    let mut placement = placement(&agents);
+    for port in 0..20 {
+        placed(&mut placement, &agents, port, NOW);
+        placement.count_bytes(orders(), 40_000);
+    }
+    placement.report(report(2, 0));
+    placement.report(report(1, 5));
+    assert_eq!(placed(&mut placement, &agents, 100, NOW), 1);
+    placement.report(LoadReport { queued: 10, ..report(1, 5) });
+    assert_eq!(placed(&mut placement, &agents, 101, NOW), 2);
+}
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -72,8 +72,8 @@
             counters,
         );
         compio::runtime::spawn(task.run(calls, flows, stops)).detach();
-        Session::spawn(&node, config.control, settings.shortest_lease);
-        RouteWatch::spawn(&node);
+        Session::spawn(&node, config.control, settings);
+        RouteWatch::spawn(&node, settings.first_start);
         Ok(Self { node, stop, stop_limit: Rc::new(Cell::new(settings.stop_limit)) })
     }
 
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -73,8 +73,8 @@
             readiness.clone(),
         );
         compio::runtime::spawn(task.run(loads, flows)).detach();
-        Session::spawn(&node, config.control, settings.shortest_lease);
-        RouteWatch::spawn(&node);
+        Session::spawn(&node, config.control, settings);
+        RouteWatch::spawn(&node, settings.first_start);
         let stop_limit = Rc::new(Cell::new(settings.stop_limit));
         Ok(Self { node, readiness, counters, stop_limit })
     }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -271,6 +271,7 @@
         buf: &[u8],
         now: Timestamp,
     ) {
+        self.placement.count_bytes(service, u64::from(seg.len));
         let known = self.owners.get(&seg.flow, now);
         if let Some(owner) = known.filter(|owner| self.agents.get(owner.process).is_some()) {
             return self.send(service, Errand::Deliver, buf, owner.data).await;
--- a/crates/dillmill-flow/src/route_watch.rs
+++ b/crates/dillmill-flow/src/route_watch.rs
@@ -21,6 +21,8 @@
 /// How long a process that starts waits for its peers' routes before it reads the store, at least and
 /// at most: when all start at once, the first to read passes the routes on before most others do.
 const PEERS_FIRST_MS: std::ops::Range<u64> = 50..400;
+/// The same when the whole system starts for the first time, seconds before any traffic.
+const FIRST_START_MS: std::ops::Range<u64> = 500..4000;
 /// Wait after a failed call.
 const RETRY: Duration = Duration::from_millis(300);
 /// How often a process without the duty looks whether it has it now.
@@ -34,25 +36,28 @@
     views: Views,
     view: Option<std::sync::Arc<View>>,
     after: Option<Version>,
+    /// How long to wait for the routes of peers after the start, in milliseconds.
+    patience_ms: std::ops::Range<u64>,
 }
 
 type Step<T> = Result<T, Report<PlatformError>>;
 
 impl RouteWatch {
     /// Starts the task.
-    pub fn spawn(node: &Node) {
+    pub fn spawn(node: &Node, first_start: bool) {
         let watch = Self {
             store: node.store.clone(),
             handle: node.handle.clone(),
             views: node.handle.views(),
             view: None,
             after: None,
+            patience_ms: if first_start { FIRST_START_MS } else { PEERS_FIRST_MS },
         };
         compio::runtime::spawn(watch.run()).detach();
     }
 
     async fn run(mut self) {
-        let patience = Duration::from_millis(rand::rng().random_range(PEERS_FIRST_MS));
+        let patience = Duration::from_millis(rand::rng().random_range(self.patience_ms.clone()));
         compio::time::sleep(patience).await;
         loop {
             self.view = self.views.newer().or(self.view.take());
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -11,7 +11,7 @@
 
 use dillmill_core::{EventKind, StoreReach, Timestamp, store_duty};
 use dillmill_node::{Node, NodeHandle, View, Views};
-use dillmill_platform::{CommitOutcome, LeaseId, Store};
+use dillmill_platform::{CommitOutcome, LeaseId, ProcessSettings, Store};
 use error_stack::Report;
 
 /// Keys of processes: this and the number of the run.
@@ -26,6 +26,9 @@
 const RETRY: Duration = Duration::from_millis(800);
 /// How long a process tries the addresses in its settings before it looks for others in the store.
 const SETTINGS_FIRST: Duration = Duration::from_millis(120);
+/// The same when the whole system starts for the first time: there is nobody in the store yet, and no
+/// traffic for seconds, but thousands of processes that would all ask.
+const FIRST_START: Duration = Duration::from_secs(1);
 /// Before this age a process does not know all others, and would take itself for a keeper too soon.
 const KEEPER_AGE: Duration = Duration::from_millis(1500);
 /// How often a process that is no keeper looks whether it is one now.
@@ -41,6 +44,7 @@
     ttl: Duration,
     views: Views,
     view: Option<Arc<View>>,
+    settings_first: Duration,
     started: Timestamp,
     /// What this process has told the others of the store, and when.
     told: (StoreReach, Timestamp),
@@ -50,14 +54,15 @@
 
 impl Session {
     /// Starts the task that keeps the entry.
-    pub fn spawn(node: &Node, control: SocketAddrV4, shortest_lease: Duration) {
+    pub fn spawn(node: &Node, control: SocketAddrV4, settings: &ProcessSettings) {
         let now = node.handle.clock.now();
         let session = Self {
             store: node.store.clone(),
             handle: node.handle.clone(),
             control,
             lease: None,
-            ttl: LEASE.max(shortest_lease),
+            ttl: LEASE.max(settings.shortest_lease),
+            settings_first: if settings.first_start { FIRST_START } else { SETTINGS_FIRST },
             views: node.handle.views(),
             view: None,
             started: now,
@@ -79,7 +84,7 @@
     fn has_duty(&self, now: Timestamp) -> bool {
         let Some(view) = &self.view else { return false };
         if view.members.len() <= 1 {
-            return now.since(self.started) >= SETTINGS_FIRST;
+            return now.since(self.started) >= self.settings_first;
         }
         now.since(self.started) >= KEEPER_AGE
             && store_duty::on_duty(view.me.process, view.members.iter(), store_duty::KEEPERS)
@@ -89,7 +94,7 @@
         match self.step().await {
             Ok(()) => {
                 self.answered(StoreReach::Answers, "call answered".to_owned());
-                RENEW_EVERY
+                if self.lease.is_some() { RENEW_EVERY } else { OFF_DUTY }
             }
             Err(report) => {
                 self.handle.metrics.platform_errors.inc();
@@ -117,6 +122,14 @@
     }
 
     async fn step(&mut self) -> Step<()> {
+        let alone = self.view.as_ref().is_none_or(|view| view.members.len() <= 1);
+        if alone {
+            self.join().await?;
+        }
+        // Who has only just started joins through the others' entries and needs none of its own.
+        if self.handle.clock.now().since(self.started) < KEEPER_AGE {
+            return Ok(());
+        }
         match self.lease {
             Some(lease) => {
                 if !self.store.renew(lease).await? {
@@ -132,9 +145,6 @@
             }
             None => self.enter().await?,
         }
-        if self.view.as_ref().is_none_or(|view| view.members.len() <= 1) {
-            self.join().await?;
-        }
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -285,6 +285,7 @@
         service,
         own_ports: OWN_PORTS,
         peers: vec![first],
+        first_start: false,
         store,
         shortest_lease: Duration::from_secs(1),
         heartbeat_every: Duration::from_millis(200),
