feat(flow): queues bounded by 55 percent of the aim; queries of the store in one place

Cause: after a restart of everything the bound of 75 percent still let many answers come late. Change: 55 percent (the expected lengths in queue_bounded_by_aim follow the constant). The names in the store's queries stand in platform/ once, for the client and the stand-in.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -19,8 +19,9 @@
 const PLACE_HOPS: usize = 3;
 /// Part of a route's latency aim that the work ahead of a new request may take, in percent. Beyond it the
 /// answer would come late in any case, and late for all behind it; refused at once, the caller can try
-/// elsewhere. The rest is for the way and for the caller's own time.
-const AIM_SHARE: u32 = 75;
+/// elsewhere. The rest is for the way, for the caller's own time, and for work that takes longer than the
+/// average; 55, 75 and 95 were measured on whole days.
+const AIM_SHARE: u32 = 55;
 /// The same where a route has no aim, in rounds of work.
 const ROUNDS: u32 = 3;
 /// Agents asked for the owner of a flow; more than the targets of any one service to come (9 on
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -442,9 +442,9 @@
 
 /// The aim of the route bounds the queue: the slower the target, the shorter it is.
 #[rstest]
-#[case::quick(20, 36)]
-#[case::usual(50, 15)]
-#[case::cold(80, 9)]
+#[case::quick(20, 26)]
+#[case::usual(50, 11)]
+#[case::cold(80, 6)]
 #[case::slow(400, 5)]
 fn queue_bounded_by_aim(#[case] work_ms: u64, #[case] longest: u16) {
     let agents = agents(&[member(1, "orders", MemberStatus::Serving)]);
--- a/crates/dillmill-standins/src/platform.rs
+++ b/crates/dillmill-standins/src/platform.rs
@@ -13,7 +13,7 @@
 use axum::{Json, Router};
 use dillmill_platform::store_protocol::{
     COMMIT_PATH, Changes, Committed, Conflict, END_PATH, GRANT_PATH, GrantRequest, KEY_PATH,
-    RANGE_PATH, RENEW_PATH, WATCH_PATH,
+    KeyQuery, RANGE_PATH, RENEW_PATH, RangeQuery, WATCH_PATH, WatchQuery,
 };
 use dillmill_platform::{Entry, Lease, LeaseId, Page, Transaction, Version};
 use serde::{Deserialize, Serialize};
@@ -130,28 +130,6 @@
 
 type Shared = Arc<Mutex<Inner>>;
 
-#[derive(Debug, Deserialize)]
-struct KeyQuery {
-    key: String,
-}
-
-#[derive(Debug, Deserialize)]
-struct RangeQuery {
-    #[serde(rename = "path-prefix")]
-    prefix: String,
-    #[serde(default)]
-    after: String,
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchQuery {
-    #[serde(rename = "path-prefix")]
-    prefix: String,
-    after: Version,
-    #[serde(rename = "wait-ms")]
-    wait_ms: u64,
-}
-
 fn lock(store: &Shared) -> MutexGuard<'_, Inner> {
     let mut inner = store.lock().unwrap_or_else(PoisonError::into_inner);
     inner.expire();
