test(flow): a fault soak of packet flows on real processes; dillmillctl outlives its reader

Soak: three balancers, six targets of two services with agents, callers that keep flows open; kills, planned stops, pauses, hang-ups, replaced and leaving targets, moved routes in series, a store that is down, slow or forgetful, and a proxy before it that delays, silences, cuts one way and resets. Checked meanwhile: whose answer a flow gets, resets, leaving targets, routes in force, recovery.

--- a/crates/dillmill-standins/src/command.rs
+++ b/crates/dillmill-standins/src/command.rs
@@ -7,7 +7,8 @@
 use crate::load::LoadSpec;
 use crate::target::TargetRules;
 use crate::{
-    StandinError, demo, fabric, forwarder, idle, load, packets, platform, report, slopes, target,
+    StandinError, demo, fabric, flow_soak, forwarder, idle, load, packets, platform, report,
+    slopes, target,
 };
 
 const SUMMARY: &str = "\
@@ -24,12 +25,14 @@
        dillmill-standins idle --balancers N --targets N [--changes N]
        dillmill-standins flows [--flows N]
        dillmill-standins slopes
+       dillmill-standins soak [--seed N] [--seeds N] [--seconds N]
 
 `demo` runs everything on loopback, asks some requests and reports. `load` runs a
 deployment of the users under open-loop load and prints one JSON result; `report`
 makes a table of several. `packets` measures a balancer against `forwarder`,
 `slopes` the decisions at the size to come, `idle` what control
-alone costs, `flows` what open flows cost.";
+alone costs, `flows` what open flows cost. `soak` runs packet flows on real processes
+under faults drawn from each seed, and fails when a promise is broken.";
 
 /// Runs a command line without the program's name.
 ///
@@ -44,6 +47,7 @@
     opts.optopt("", "slots", "slots of the target", "N");
     opts.optopt("", "cold-ms", "time during which a target is cold", "N");
     opts.optopt("", "seed", "seed of random choices", "N");
+    opts.optopt("", "seeds", "number of seeds, counted from --seed", "N");
     opts.optopt("", "balancers", "balancers", "N");
     opts.optopt("", "flows", "flows", "N");
     opts.optopt("", "targets", "targets", "N");
@@ -103,6 +107,12 @@
         Some("packets") => Box::pin(packets::run()).await,
         Some("slopes") => slopes::run(),
         Some("flows") => Box::pin(idle::flows(number(&matches, "flows", 500)?)).await,
+        Some("soak") => {
+            let seed = number(&matches, "seed", 1)?;
+            let seeds = number(&matches, "seeds", 1)?;
+            let length = std::time::Duration::from_secs(number(&matches, "seconds", 12)?);
+            Box::pin(flow_soak::run_seeds(seed..seed + seeds, length)).await
+        }
         Some("idle") => {
             let balancers = number(&matches, "balancers", 4)?;
             let targets = number(&matches, "targets", 4)?;
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use tempfile::TempDir;
 
+use crate::flow_proxy::FlowProxy;
 use crate::flow_router::FlowRouter;
 use crate::flow_target::FlowTarget;
 use crate::platform::PlatformFaults;
@@ -30,6 +31,7 @@
 const POLL: Duration = Duration::from_millis(25);
 const LIMIT: Duration = Duration::from_secs(20);
 const STORE_HOST: u8 = 1;
+const PROXY_HOST: u8 = 2;
 const FIRST_CALLER: u8 = 200;
 
 /// A VM of the fleet.
@@ -47,6 +49,7 @@
     vms: BTreeMap<String, Vm>,
     store: Store,
     _store_process: Process,
+    proxy: FlowProxy,
     router: Rc<FlowRouter>,
 }
 
@@ -67,6 +70,8 @@
         let args = ["platform".to_owned(), "--listen".to_owned(), store_addr.to_string()];
         let standins = program("dillmill-standins")?;
         let store_process = Process::spawn("platform", &standins, &args, dir.path())?;
+        let proxy_addr = SocketAddrV4::new(ip(PROXY_HOST), STORE);
+        let proxy = FlowProxy::spawn(proxy_addr, store_addr).await?;
         let store = Store::new(format!("http://{store_addr}"))
             .map_err(|e| StandinError::new("make a client", e.current_context()))?;
         let mut hosts = 10_u8..;
@@ -75,13 +80,13 @@
         let mut vms = BTreeMap::new();
         for n in 1..=balancers {
             let name = format!("balancer-{n}");
-            vms.insert(name.clone(), make_vm(&name, ip(host()), None, store_addr, first)?);
+            vms.insert(name.clone(), make_vm(&name, ip(host()), None, proxy_addr, first)?);
         }
         for (service, targets) in services {
             for n in 1..=*targets {
                 let name = format!("{service}-{n}");
                 let service = service.parse().map_err(StandinError::at("name a service"))?;
-                let vm = make_vm(&name, ip(host()), Some(service), store_addr, first)?;
+                let vm = make_vm(&name, ip(host()), Some(service), proxy_addr, first)?;
                 vms.insert(name, vm);
             }
         }
@@ -91,7 +96,7 @@
             .map(|vm| vm.settings.clone())
             .collect();
         let router = Rc::new(FlowRouter::spawn(&entry));
-        let mut fleet = Self { dir, net, vms, store, _store_process: store_process, router };
+        let mut fleet = Self { dir, net, vms, store, _store_process: store_process, proxy, router };
         fleet.wait_for_store().await?;
         fleet.set_route(1, services[0].0).await?;
         let names: Vec<String> = fleet.vms.keys().cloned().collect();
@@ -195,6 +200,26 @@
         process.ok_or_else(|| StandinError::new("signal", name))?.hang_up()
     }
 
+    /// Freezes the process of a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none.
+    pub fn freeze(&mut self, name: &str) -> Result<(), StandinError> {
+        let process = self.vm(name)?.process.as_ref();
+        process.ok_or_else(|| StandinError::new("freeze", name))?.freeze()
+    }
+
+    /// Lets the process of a VM go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none.
+    pub fn thaw(&mut self, name: &str) -> Result<(), StandinError> {
+        let process = self.vm(name)?.process.as_ref();
+        process.ok_or_else(|| StandinError::new("thaw", name))?.thaw()
+    }
+
     /// Returns what the process of a VM has logged.
     ///
     /// # Errors
@@ -248,6 +273,12 @@
         SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
     }
 
+    /// Returns the proxy between all processes and the store.
+    #[must_use]
+    pub fn proxy(&self) -> &FlowProxy {
+        &self.proxy
+    }
+
     /// Returns the routers.
     #[must_use]
     pub fn router(&self) -> &FlowRouter {
--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -3,7 +3,7 @@
 //! Not published. [`platform`], [`fabric`], [`target`] and [`caller`] take the place of the
 //! platform, the fabric, the targets and the callers; [`cluster`] runs them and dillmill's own
 //! programs as processes on loopback; [`flow_fleet`], [`flow_target`], [`flow_caller`] and
-//! [`flow_router`] do the same for packet flows; [`demo`] and [`load`] use such a cluster.
+//! [`flow_router`] do the same for packet flows, with faults in [`flow_soak`]; [`demo`] and [`load`] use such a cluster.
 
 pub mod caller;
 pub mod cluster;
@@ -13,7 +13,9 @@
 pub mod fabric;
 pub mod flow_caller;
 pub mod flow_fleet;
+pub mod flow_proxy;
 pub mod flow_router;
+pub mod flow_soak;
 pub mod flow_target;
 pub mod forwarder;
 pub mod idle;
--- a/crates/dillmillctl/src/main.rs
+++ b/crates/dillmillctl/src/main.rs
@@ -6,12 +6,14 @@
 mod command;
 mod config;
 mod error;
+mod output;
 mod verbs;
 
 use std::process::ExitCode;
 
 use command::{Invocation, Parsed};
 use error::CtlError;
+use output::out;
 
 #[compio::main]
 async fn main() -> ExitCode {
@@ -19,7 +21,7 @@
     let invocation = match command::parse(&args) {
         Ok(Parsed::Run(invocation)) => invocation,
         Ok(Parsed::Show(text)) => {
-            print!("{text}");
+            out!("{text}");
             return ExitCode::SUCCESS;
         }
         Err(e) => return fail(&e),
--- a/crates/dillmillctl/src/verbs.rs
+++ b/crates/dillmillctl/src/verbs.rs
@@ -8,6 +8,7 @@
 use crate::command::{Invocation, Verb};
 use crate::config::CtlConfig;
 use crate::error::CtlError;
+use crate::output::outln;
 
 pub(crate) async fn run(cfg: &CtlConfig, invocation: &Invocation) -> Result<(), CtlError> {
     let json = invocation.json;
@@ -29,6 +30,6 @@
 
 fn print_json<T: Serialize>(value: &T) {
     if let Ok(text) = serde_json::to_string(value) {
-        println!("{text}");
+        outln!("{text}");
     }
 }
--- a/crates/dillmillctl/src/verbs/processes.rs
+++ b/crates/dillmillctl/src/verbs/processes.rs
@@ -11,6 +11,7 @@
 
 use crate::config::CtlConfig;
 use crate::error::CtlError;
+use crate::output::outln;
 use crate::verbs::print_json;
 
 const AT_ONCE: usize = 64;
@@ -113,15 +114,19 @@
         print_json(&json!({ "revision": seen.newest, "processes": processes }));
         return;
     }
-    println!("newest revision {}", seen.newest);
-    println!(
+    outln!("newest revision {}", seen.newest);
+    outln!(
         "{:<16} {:<24} {:<10} {:>8} {:>8} platform",
-        "vm", "role", "standing", "revision", "flows"
+        "vm",
+        "role",
+        "standing",
+        "revision",
+        "flows"
     );
     for (member, status) in &seen.rows {
         let role = member.role.to_string();
         match status {
-            Some(s) => println!(
+            Some(s) => outln!(
                 "{:<16} {role:<24} {:<10} {:>8} {:>8} {}",
                 member.vm.to_string(),
                 s.member.status.to_string(),
@@ -129,7 +134,7 @@
                 s.flows,
                 if s.platform_reachable { "answers" } else { "no answer" },
             ),
-            None => println!("{:<16} {role:<24} does not answer", member.vm.to_string()),
+            None => outln!("{:<16} {role:<24} does not answer", member.vm.to_string()),
         }
     }
 }
@@ -156,7 +161,7 @@
         if json {
             print_json(&json!({ "vm": member.vm, "process": member.process, "event": event }));
         } else {
-            println!(
+            outln!(
                 "{} {:<14} {:<9} {} ({})",
                 event.at,
                 member.vm,
--- a/crates/dillmillctl/src/verbs/settings.rs
+++ b/crates/dillmillctl/src/verbs/settings.rs
@@ -13,6 +13,7 @@
 
 use crate::config::CtlConfig;
 use crate::error::CtlError;
+use crate::output::{out, outln};
 use crate::verbs::print_json;
 
 fn read_file(file: &Path) -> Result<String, CtlError> {
@@ -34,7 +35,7 @@
     let text = read_file(file)?;
     let tree = cfg.store()?.tree().await?;
     tree.with(path.clone(), Some(text)).check().map_err(|problems| refused(&problems))?;
-    println!("{path}: good");
+    outln!("{path}: good");
     Ok(())
 }
 
@@ -49,7 +50,7 @@
             print_json(&tree);
         } else {
             for (path, node) in &tree.nodes {
-                println!("{path} revision {}", node.revision);
+                outln!("{path} revision {}", node.revision);
             }
         }
         return Ok(());
@@ -59,7 +60,7 @@
     if json {
         print_json(&json!({ "path": path, "revision": node.revision, "text": node.text }));
     } else {
-        print!("{}", node.text);
+        out!("{}", node.text);
         eprintln!("{path} revision {}", node.revision);
     }
     Ok(())
@@ -76,7 +77,7 @@
     let now =
         Timestamp::default() + SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let revision = cfg.store()?.write(&edit, now).await?;
-    println!("{path}: revision {revision}");
+    outln!("{path}: revision {revision}");
     Ok(())
 }
 
@@ -170,7 +171,7 @@
 ) -> Result<(), CtlError> {
     let before = tree_at(cfg, Some(from)).await?;
     let after = tree_at(cfg, to).await?;
-    print!("{}", before.diff(&after));
+    out!("{}", before.diff(&after));
     Ok(())
 }
 
@@ -182,7 +183,7 @@
             print_json(&change);
         } else {
             let what = if change.text.is_some() { "set" } else { "delete" };
-            println!("{} {} {what} {}", change.revision, change.author, change.path);
+            outln!("{} {} {what} {}", change.revision, change.author, change.path);
         }
         revision = revision.next();
     }
@@ -216,7 +217,7 @@
         print_json(&list);
     } else {
         for (key, value, origin) in lines {
-            println!("{key:<14} {value:<12} from {origin}");
+            outln!("{key:<14} {value:<12} from {origin}");
         }
     }
     Ok(())
--- a/crates/dillmillctl/tests/command_line.rs
+++ b/crates/dillmillctl/tests/command_line.rs
@@ -64,3 +64,17 @@
     assert_eq!(code, 1, "{said}");
     assert!(said.contains("127.0.0.1:1"), "{said}");
 }
+
+/// `dillmillctl … | head`: a reader that goes away early is no failure.
+#[test]
+fn reader_may_leave() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let output = Command::new(env!("CARGO_BIN_EXE_dillmillctl"))
+        .arg("--help")
+        .stdout(writer)
+        .output()
+        .unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.success() && said.is_empty(), "{said}");
+}
