fix(flow): answered flows don't count as expected requests; own pauses are forgiven

Ruled out: load (the resets come at the 16th flow every time, three targets of five slots each). Change: a flow is expected to bring a request only until its first has come. An agent or balancer that was paused itself takes nobody for silent for that. answered_flow_counts_no_more failed before, passes now; the quick case of queue_bounded_by_aim grows by the one answered flow that no longer counts.

--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Counts all silence from `now` on: the balancer itself was paused.
+    pub fn forgive(&mut self, now: Timestamp) {
+        for load in self.loads.values_mut() {
+            load.unanswered = load.unanswered.map(|_| now);
+        }
+    }
+
     /// Returns whether an agent has left new flows or questions without an answer.
     #[must_use]
     pub fn silent(&self, process: ProcessId, now: Timestamp) -> bool {
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -15,7 +15,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Member, MemberStatus, ProcessId, Revision, Role, ServiceName, Timestamp};
+use crate::{Member, MemberStatus, PauseWatch, ProcessId, Revision, Role, ServiceName, Timestamp};
 
 mod probe;
 
@@ -88,7 +88,7 @@
     first_tick: Option<Timestamp>,
     /// The last peer that was compared with held the same records.
     agrees: bool,
-    last_tick: Option<Timestamp>,
+    pauses: PauseWatch,
     revision: Revision,
     /// Peers to compare all records with.
     wants_sync: VecDeque<SocketAddrV4>,
@@ -116,7 +116,7 @@
             next_sync: Timestamp::default(),
             first_tick: None,
             agrees: false,
-            last_tick: None,
+            pauses: PauseWatch::new(PAUSE),
             revision: Revision::default(),
             wants_sync: VecDeque::new(),
             generation: 0,
@@ -375,9 +375,7 @@
 
     fn forgive_pause(&mut self, now: Timestamp) {
         self.first_tick.get_or_insert(now);
-        let paused = self.last_tick.is_some_and(|last| now.since(last) > PAUSE);
-        self.last_tick = Some(now);
-        if paused {
+        if self.pauses.was_paused(now) {
             self.pending = None;
             for entry in self.entries.values_mut() {
                 if entry.member.status == MemberStatus::Suspect {
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -46,6 +46,8 @@
     caller_expects: u32,
     /// When the request that has had no answer yet began.
     request: Option<Timestamp>,
+    /// A request has come: the flow is no longer expected to bring its first.
+    began: bool,
     /// It began while a slot was free, so that its time is that of the work alone.
     unqueued: bool,
 }
@@ -101,6 +103,7 @@
             taken: now,
             caller_expects: 0,
             request: None,
+            began: false,
             unqueued: false,
         };
         self.unheard.get_or_insert(now);
@@ -127,6 +130,7 @@
             SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
             _ if seg.len > 0 && flow.request.is_none() => {
                 flow.request = Some(now);
+                flow.began = true;
                 flow.unqueued = unqueued;
             }
             _ => {}
@@ -159,6 +163,7 @@
                 taken: now,
                 caller_expects: seg.seq,
                 request: None,
+                began: true,
                 unqueued: false,
             };
             self.flows.insert(seg.flow, learned, now);
@@ -217,7 +222,7 @@
     pub fn load(&self, now: Timestamp) -> TargetLoad {
         let mut load = TargetLoad::default();
         for (_, flow) in self.flows.iter() {
-            let expected = now.since(flow.taken) < FIRST_REQUEST;
+            let expected = !flow.began && now.since(flow.taken) < FIRST_REQUEST;
             let running = flow.request.is_some_and(|since| now.since(since) < REQUEST_LIMIT);
             match flow.stage {
                 Stage::Opening => load.requests += u32::from(expected),
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -442,7 +442,7 @@
 
 /// The aim of the route bounds the queue: the slower the target, the shorter it is.
 #[rstest]
-#[case::quick(20, 26)]
+#[case::quick(20, 27)]
 #[case::usual(50, 11)]
 #[case::cold(80, 6)]
 #[case::slow(400, 5)]
@@ -534,3 +534,18 @@
     let verdict = arrived(&mut gate, &open(16), &place(), known);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Crowded, .. }), "{verdict:?}");
 }
+
+/// Found by the soak (seed 19): flows whose only request was answered at once counted as requests for
+/// 30 ms, so that a burst of short ones was refused by idle targets.
+#[test]
+fn answered_flow_counts_no_more() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    for port in 1..=40 {
+        open_flow(&mut gate, port, known);
+        arrived(&mut gate, &request(port), &envelope(Errand::Deliver), known);
+        gate.answered(&Segment { len: 10, ..segment(port, SegmentKind::Data) }, NOW);
+    }
+    assert_eq!(gate.load(NOW).requests, 0);
+}
--- a/crates/dillmill-core/tests/flow_placements.rs
+++ b/crates/dillmill-core/tests/flow_placements.rs
@@ -5,8 +5,8 @@
 
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, FlowPlacement, FlowTuple, Member, MemberStatus, Owner, OwnerCache, ProcessId, Role,
-    ServiceTag, Timestamp, Weight,
+    AgentTable, FlowPlacement, FlowTuple, Member, MemberStatus, Owner, OwnerCache, PauseWatch,
+    ProcessId, Role, ServiceTag, Timestamp, Weight,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(1_000_000);
@@ -173,3 +173,20 @@
     placement.report(LoadReport { queued: 10, ..report(1, 5) });
     assert_eq!(placed(&mut placement, &agents, 101, NOW), 2);
 }
+
+/// A balancer that was paused itself blames nobody.
+#[test]
+fn own_pause_forgiven() {
+    let agents = table(&["near", "far"]);
+    let mut placement = placement(&agents);
+    let mut pauses = PauseWatch::new(Duration::from_millis(200));
+    placed(&mut placement, &agents, 1, NOW);
+    assert!(!pauses.was_paused(NOW));
+    let awake = NOW + Duration::from_secs(2);
+    assert!(placement.silent(ProcessId(1), awake));
+    assert!(pauses.was_paused(awake));
+    placement.forgive(awake);
+    assert!(!placement.silent(ProcessId(1), awake));
+    assert!(!pauses.was_paused(awake + Duration::from_millis(100)));
+    assert!(placement.silent(ProcessId(1), awake + Duration::from_millis(300)), "still no answer");
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -10,8 +10,8 @@
 use dillmill_core::flow_placement::REPORT_EVERY;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, Role, RouteTable, Segment,
-    SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
+    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, PauseWatch, Role, RouteTable,
+    Segment, SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::endpoint::Accepted;
@@ -86,6 +86,7 @@
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
     silent: bool,
+    pauses: PauseWatch,
     stopping: Option<(StopRequest, Timestamp)>,
 }
 
@@ -123,6 +124,7 @@
             origins: HashMap::new(),
             run: None,
             silent: false,
+            pauses: PauseWatch::new(TICK * 2),
             stopping: None,
         }
     }
@@ -144,6 +146,10 @@
         ]);
         while let Some(event) = events.next().await {
             let now = self.handle.clock.now();
+            if self.pauses.was_paused(now) {
+                // What the target has answered meanwhile waits in the socket.
+                self.gate.heard();
+            }
             if let Some(view) = self.views.newer() {
                 self.take_view(&view);
             }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -12,7 +12,7 @@
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+    PauseWatch, RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -69,6 +69,7 @@
     routes: Arc<RouteTable>,
     owners: OwnerCache,
     placement: FlowPlacement,
+    pauses: PauseWatch,
     started: Timestamp,
     /// Packets whose owners are being searched.
     kept: Generations<FlowTuple, Vec<u8>>,
@@ -104,6 +105,7 @@
             routes: Arc::default(),
             owners: OwnerCache::default(),
             placement: FlowPlacement::default(),
+            pauses: PauseWatch::new(TICK * 2),
             started: now,
             kept: Generations::new(KEPT_FOR, KEPT_PACKETS),
             again,
@@ -126,6 +128,9 @@
         ]);
         while let Some(event) = events.next().await {
             let now = self.handle.clock.now();
+            if self.pauses.was_paused(now) {
+                self.placement.forgive(now);
+            }
             if let Some(view) = self.views.newer() {
                 self.take_view(&view);
             }
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -384,13 +384,19 @@
         let all = usize::from(BALANCERS);
         wait(SETTLE, "readiness after the faults", || router.ready() == all).await?;
         let caller = fleet.caller(CALLERS).await?;
-        let mut served = 0;
-        for _ in 0..20 {
-            let Ok(mut flow) = caller.open(fleet.route()).await else { continue };
-            served += u32::from(flow.request().await.is_ok());
+        let mut ends = Vec::new();
+        for n in 0..20 {
+            match caller.open(fleet.route()).await {
+                Ok(mut flow) => {
+                    if let Err(end) = flow.request().await {
+                        ends.push(format!("request {n} {end:?}"));
+                    }
+                }
+                Err(end) => ends.push(format!("opening {n} {end:?}")),
+            }
         }
-        if served < 18 {
-            self.facts.borrow_mut().breaks(&format!("{served} of 20 requests served at the end"));
+        if ends.len() > 2 {
+            self.facts.borrow_mut().breaks(&format!("of 20 at the end: {}", ends.join(", ")));
         }
         Ok(())
     }
