fix(flow): a flow waits for its agent, whichever run of it comes back

Agents that had restarted themselves tried the packets at their targets: three and more at others, none at the flow's own. Change: an owner is known by the address of its agent, not by the run of it; directories already were. flow_waits_for_its_agent: 20 and 8 packets at targets of others before, 0 after.

--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -69,6 +69,13 @@
         self.agents.iter().find(|a| a.process == process)
     }
 
+    /// Returns the agent that takes packets at `data`, whichever run of it was known before: its target may
+    /// have outlived that run.
+    #[must_use]
+    pub fn at(&self, data: SocketAddrV4) -> Option<&AgentEntry> {
+        self.agents.iter().find(|a| a.data == data)
+    }
+
     /// Returns the agents of `service` that take new flows.
     pub fn serving(&self, service: ServiceTag) -> impl Iterator<Item = &AgentEntry> {
         self.agents
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -480,8 +480,7 @@
             return None;
         }
         let record = self.directory.owner(&seg.flow, seg.ack, now)?;
-        let alive = known.agents.iter().any(|a| a.data == record.data);
-        if record.data == self.data || !alive {
+        if record.data == self.data || known.agents.at(record.data).is_none() {
             return None;
         }
         let start = Search { place: SearchPlace::Directory(0), steps: 0, sure: true };
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -232,7 +232,7 @@
         let before = self.owners.get(&seg.flow, now).filter(|_| copies > 0);
         let again = before.filter(|owner| {
             !self.placement.silent(owner.process, now)
-                && self.agents.serving(service).any(|a| a.process == owner.process)
+                && self.agents.serving(service).any(|a| a.data == owner.data)
         });
         let (owner, near) = if let Some(owner) = again {
             (owner, true)
@@ -278,7 +278,7 @@
     ) {
         self.placement.count_bytes(service, u64::from(seg.len));
         let known = self.owners.get(&seg.flow, now);
-        if let Some(owner) = known.filter(|owner| self.agents.get(owner.process).is_some()) {
+        if let Some(owner) = known.filter(|owner| self.agents.at(owner.data).is_some()) {
             return self.send(service, Errand::Deliver, buf, owner.data).await;
         }
         self.search(seg, service, services, buf, now).await;
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -29,6 +29,7 @@
     /// The number with which each flow began here.
     flows: HashMap<FlowTuple, u32>,
     opened: u64,
+    given_back: u64,
     acknowledged: Option<TargetState>,
 }
 
@@ -58,6 +59,7 @@
             says: TargetState::Ready,
             flows: HashMap::new(),
             opened: 0,
+            given_back: 0,
             acknowledged: None,
         }));
         let packets = take_packets(socket, SocketAddr::V4(outbound), state.clone());
@@ -80,6 +82,12 @@
         self.state.borrow().acknowledged == Some(TargetState::Draining)
     }
 
+    /// Returns the number of packets of flows that it did not hold.
+    #[must_use]
+    pub fn given_back(&self) -> u64 {
+        self.state.borrow().given_back
+    }
+
     /// Returns the number of flows that callers have opened here.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -123,6 +131,7 @@
                 None
             }
             (_, None) => {
+                self.given_back += 1;
                 packet::give_back(&mut buf);
                 Some(buf)
             }
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -168,3 +168,40 @@
         Ok(())
     });
 }
+
+/// Found by a day of our own (agents rolled twice): while an agent was away for the second time, the balancer
+/// did not know its first run any more and had the flow searched at the targets of others.
+#[test]
+fn flow_waits_for_its_agent() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(1, &[("orders", 3)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 9).await;
+        let owners = ask(&mut flows).await;
+        for n in 1..=3 {
+            fleet.kill(&format!("orders-{n}"))?;
+            fleet.run(&format!("orders-{n}"))?;
+        }
+        compio::time::sleep(Duration::from_secs(2)).await;
+        let mut mine = Vec::new();
+        for (flow, owner) in flows.into_iter().zip(owners) {
+            if owner.as_ref().is_ok_and(|id| id == "orders-1") {
+                mine.push(flow);
+            }
+        }
+        assert!(!mine.is_empty(), "no flow of the first target");
+        fleet.kill("orders-1")?;
+        let later = async {
+            compio::time::sleep(Duration::from_millis(1200)).await;
+            let strange =
+                fleet.target("orders-2")?.given_back() + fleet.target("orders-3")?.given_back();
+            assert_eq!(strange, 0, "packets at targets of others");
+            fleet.run("orders-1")
+        };
+        let asking = futures_util::future::join_all(mine.iter_mut().map(OpenFlow::request));
+        let (answers, ran) = futures_util::future::join(asking, later).await;
+        ran?;
+        assert!(answers.iter().all(|a| a.as_ref().is_ok_and(|id| id == "orders-1")), "{answers:?}");
+        Ok(())
+    });
+}
