--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -176,7 +176,12 @@
     on_runtime(async {
         let mut fleet = FlowFleet::start(1, &[("orders", 3)]).await?;
         let caller = fleet.caller(0).await?;
+        // An agent serves from its target's first heartbeat on, which may come after these flows.
         let mut flows = open(&caller, &fleet, 9).await;
+        let started = std::time::Instant::now();
+        while fleet.target("orders-1")?.opened() == 0 && started.elapsed() < LIMIT {
+            flows.extend(open(&caller, &fleet, 3).await);
+        }
         let owners = ask(&mut flows).await;
         for n in 1..=3 {
             fleet.kill(&format!("orders-{n}"))?;
