test(flow): the reset of an ended target's flows needs a flow there

Cause: flows_of_an_ended_target_reset passed without checking anything when the first target had no flow. Change: flows are opened until it has one, in both tests that need it, and the test says so if not.

--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -28,6 +28,20 @@
     panic!("{} of {n} flows open", flows.len());
 }
 
+/// Opens flows until the first target has one: its agent serves from its first heartbeat on, which may come
+/// after the first flows.
+async fn open_until_first<'a>(
+    caller: &'a FlowCaller,
+    fleet: &FlowFleet,
+) -> Result<Vec<OpenFlow<'a>>, StandinError> {
+    let mut flows = open(caller, fleet, 6).await;
+    let started = std::time::Instant::now();
+    while fleet.target("orders-1")?.opened() == 0 && started.elapsed() < LIMIT {
+        flows.extend(open(caller, fleet, 3).await);
+    }
+    Ok(flows)
+}
+
 /// Asks on every flow, and returns who answered.
 async fn ask(flows: &mut [OpenFlow<'_>]) -> Vec<Result<String, FlowEnd>> {
     let mut answers = Vec::new();
@@ -140,8 +154,9 @@
     on_runtime(async {
         let mut fleet = FlowFleet::start(2, &[("orders", 2)]).await?;
         let caller = fleet.caller(0).await?;
-        let mut flows = open(&caller, &fleet, 6).await;
+        let mut flows = open_until_first(&caller, &fleet).await?;
         let owners = ask(&mut flows).await;
+        assert!(owners.contains(&Ok("orders-1".to_owned())), "{owners:?}");
         fleet.run_target("orders-1", "orders-1-again").await?;
         for (flow, owner) in flows.iter_mut().zip(&owners) {
             let lost = owner.as_ref().is_ok_and(|id| id == "orders-1");
@@ -176,12 +191,7 @@
     on_runtime(async {
         let mut fleet = FlowFleet::start(1, &[("orders", 3)]).await?;
         let caller = fleet.caller(0).await?;
-        // An agent serves from its target's first heartbeat on, which may come after these flows.
-        let mut flows = open(&caller, &fleet, 9).await;
-        let started = std::time::Instant::now();
-        while fleet.target("orders-1")?.opened() == 0 && started.elapsed() < LIMIT {
-            flows.extend(open(&caller, &fleet, 3).await);
-        }
+        let mut flows = open_until_first(&caller, &fleet).await?;
         let owners = ask(&mut flows).await;
         for n in 1..=3 {
             fleet.kill(&format!("orders-{n}"))?;
