fix(agent): an agent alone in its ring passes its records on at once

Cause: the scripts once_agent_killed and once_agent_restarted failed when the killed agent was the one that had begun the ring of its service alone (logs of a failed run: ring epoch 1 by cotiza-a2, killed 0.6 s later, "agents that may have run it are lost" for every new key afterwards). Until it has passed its records on, nobody else can say which keys it has dispatched. It did so at its next look at the ring, up to one second after the second agent had joined.

Ruled out: probes and ring changes (the ring without the lost agent was in force 6.2 s after the kill, as designed); the store (no call failed).

Change: the ledger tells the ring task when it has taken a newer ring into force, and the task looks at once.

--- a/crates/dillmill-agent/src/ledger.rs
+++ b/crates/dillmill-agent/src/ledger.rs
@@ -61,6 +61,7 @@
 #[derive(Debug, Clone)]
 pub struct Ledger {
     tx: flume::Sender<Input>,
+    newer_ring: flume::Receiver<()>,
 }
 
 impl Ledger {
@@ -68,6 +69,7 @@
     #[must_use]
     pub fn spawn(me: RingMember, window: Duration, clock: Clock, metrics: AgentMetrics) -> Self {
         let (tx, rx) = flume::unbounded();
+        let (ring_taken, newer_ring) = flume::bounded(1);
         let task = LedgerTask {
             ledger: ClaimLedger::new(me, window),
             running: HashMap::new(),
@@ -75,6 +77,7 @@
             kept_bytes: 0,
             clock,
             metrics,
+            ring_taken,
         };
         compio::runtime::spawn(task.run(rx)).detach();
         let ticker = tx.clone();
@@ -84,7 +87,7 @@
             }
         })
         .detach();
-        Self { tx }
+        Self { tx, newer_ring }
     }
 
     async fn call<T>(&self, input: impl FnOnce(flume::Sender<T>) -> Input, gone: T) -> T {
@@ -113,6 +116,12 @@
         self.call(|tx| Input::Adopt(ring, tx), false).await
     }
 
+    /// Waits until a newer ring has been taken into force, or for `limit`; one task may wait.
+    pub async fn newer_ring(&self, limit: Duration) {
+        // Both ends lead to the same look at the ring.
+        let _ = compio::time::timeout(limit, self.newer_ring.recv_async()).await;
+    }
+
     /// Returns the authority of a key.
     pub async fn authority(&self, key: ClaimKey) -> Option<RingMember> {
         self.call(|tx| Input::Authority(key, tx), None).await
@@ -204,6 +213,7 @@
     kept_bytes: usize,
     clock: Clock,
     metrics: AgentMetrics,
+    ring_taken: flume::Sender<()>,
 }
 
 impl LedgerTask {
@@ -225,7 +235,12 @@
                 let _ = tx.send((self.ledger.ring().clone(), self.ledger.live_past(now)));
             }
             Input::Adopt(ring, tx) => {
-                let _ = tx.send(self.ledger.adopt(ring, now));
+                let newer = self.ledger.adopt(ring, now);
+                if newer {
+                    // A full channel says the same already.
+                    let _ = self.ring_taken.try_send(());
+                }
+                let _ = tx.send(newer);
             }
             Input::Authority(key, tx) => {
                 let _ = tx.send(self.ledger.authority(key));
--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -21,6 +21,9 @@
 const HAND_OVER_ATTEMPTS: usize = 5;
 
 /// Looks after the ring until the process ends.
+///
+/// It looks again as soon as another agent has changed the ring: an agent that was alone until then must
+/// pass its records on at once, as its loss would leave every key unknown.
 pub(crate) async fn run(cx: AgentContext, store: RingStore) {
     let mut down_since: Vec<(ProcessId, Timestamp)> = Vec::new();
     let mut join_pause = JOIN_PAUSE_MIN;
@@ -38,7 +41,7 @@
             cover(&cx, &store, &ring).await;
         }
         if joined {
-            compio::time::sleep(CHECK_INTERVAL).await;
+            cx.ledger.newer_ring(CHECK_INTERVAL).await;
         } else {
             compio::time::sleep(join_pause).await;
             join_pause = (join_pause * 2).min(JOIN_PAUSE_MAX);
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -385,12 +385,7 @@
     ///
     /// Fails when it does not answer.
     pub async fn status(&self, name: &str) -> Result<ProcessStatus, StandinError> {
-        let admin = self
-            .launches
-            .get(name)
-            .and_then(|launch| launch.admin)
-            .ok_or_else(|| StandinError::new("ask status", format!("no {name}")))?;
-        self.get_json(admin, "/status").await
+        self.get_json(self.admin(name)?, "/status").await
     }
 
     /// Returns the value of a metric of a process.
@@ -399,12 +394,7 @@
     ///
     /// Fails when it does not answer or has no such metric.
     pub async fn metric(&self, name: &str, metric: &str) -> Result<i64, StandinError> {
-        let admin = self
-            .launches
-            .get(name)
-            .and_then(|launch| launch.admin)
-            .ok_or_else(|| StandinError::new("ask metrics", format!("no {name}")))?;
-        let text = self.get_text(admin, "/metrics").await?;
+        let text = self.get_text(self.admin(name)?, "/metrics").await?;
         text.lines()
             .find_map(|line| line.strip_prefix(metric)?.strip_prefix(' ')?.parse().ok())
             .ok_or_else(|| StandinError::new("ask metrics", format!("{name} has no {metric}")))
@@ -564,6 +554,20 @@
         found.ok_or_else(|| StandinError::new("find target", format!("no {name}")))
     }
 
+    /// Returns whether a process's time line has an event that says `what`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not answer.
+    pub async fn has_event(&self, name: &str, what: &str) -> Result<bool, StandinError> {
+        Ok(self.get_text(self.admin(name)?, "/events").await?.contains(what))
+    }
+
+    fn admin(&self, name: &str) -> Result<SocketAddr, StandinError> {
+        let admin = self.launches.get(name).and_then(|launch| launch.admin);
+        admin.ok_or_else(|| StandinError::new("find the page of a process", format!("no {name}")))
+    }
+
     /// Returns what a target has done.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/scenario.rs
+++ b/crates/dillmill-standins/src/scenario.rs
@@ -17,8 +17,8 @@
 use crate::traffic::{FeedLog, Traffic, Verdict, Verdicts, ask, feed, key_runs, traffic};
 use crate::{Cluster, StandinError};
 use steps::{
-    POLL, SETTLE_LIMIT, ask_many, change, flood, forge, in_force, left, running_agent, slots, spec,
-    wrong_service,
+    POLL, SETTLE_LIMIT, ask_many, change, first_agent, flood, forge, in_force, left, running_agent,
+    slots, spec, wrong_service,
 };
 
 mod step;
@@ -133,6 +133,12 @@
                 cluster.forget(&agent);
                 Ok(String::new())
             }
+            Step::KillFirst(service) => {
+                let agent = first_agent(cluster, service).await?;
+                cluster.process(&agent)?.kill();
+                cluster.forget(&agent);
+                Ok(String::new())
+            }
             Step::RestartRunning(service) => {
                 let agent = running_agent(cluster, service).await?;
                 cluster.process(&agent)?.kill();
--- a/crates/dillmill-standins/src/scenario/step.rs
+++ b/crates/dillmill-standins/src/scenario/step.rs
@@ -124,6 +124,8 @@
     },
     /// Ends the agent whose target is running a request. Example: `kill_running cotiza`.
     KillRunning(String),
+    /// Ends the agent that was alone in the ring of its service at first. Example: `kill_first cotiza`.
+    KillFirst(String),
     /// Ends the agent whose target is running a request and starts it again at once.
     RestartRunning(String),
     /// Freezes the agent whose target is running a request.
--- a/crates/dillmill-standins/src/scenario/steps.rs
+++ b/crates/dillmill-standins/src/scenario/steps.rs
@@ -203,6 +203,17 @@
     Err(StandinError::new("find the running target", "none runs anything"))
 }
 
+/// Returns the agent that began the ring of a service.
+pub(super) async fn first_agent(cluster: &Cluster, service: &str) -> Result<String, StandinError> {
+    let begins = format!("ring of {service} has epoch 1\"");
+    for name in cluster.members().into_iter().filter(|name| name.starts_with(service)) {
+        if cluster.has_event(&name, &begins).await? {
+            return Ok(name);
+        }
+    }
+    Err(StandinError::new("find the first agent", "no agent has begun the ring"))
+}
+
 /// Waits until only the given agent itself takes it for serving, or nobody does.
 pub(super) async fn left(cluster: &Cluster, agent: &str) -> Result<String, StandinError> {
     let others: Vec<String> = cluster.members().into_iter().filter(|m| m != agent).collect();
