feat(flow): searches that end without a word are repeated, and cost less

Their callers sent on flows that no target holds any more; the searches for their owners ended unsure or were lost on the way, nobody told the caller, and its own next try came seconds later.

Ruled out: slow starts (balancers were ready 0.1 to 0.6 s after theirs); the requests in flight at the moment of the loss (about 60).

Change: the balancer keeps a packet and repeats its search (PendingSearches); the caller of a closing packet is told too that nobody holds the flow; an agent remembers what its target has given back; a search takes one data centre after the other; an agent that has just started tries to connect to its target: a refused connection proves that there is none.

--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddrV4;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::envelope::SearchPlace;
 use crate::{FlowTuple, Member, MemberStatus, ProcessId, Role, ServiceTag, ZoneName};
 
@@ -10,6 +12,9 @@
 /// Two, so that the loss of one loses no answer; each copy costs 25 bytes a new flow.
 pub const DIRECTORY_COPIES: usize = 2;
 
+/// Bits of a search score that come from the data centre; two with the same ones are visited as one.
+const ZONE_BITS: u64 = 0xffff << 48;
+
 /// An agent that is not known to be down.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentEntry {
@@ -23,6 +28,8 @@
     pub service: ServiceTag,
     /// Whether it is in the data centre of the process that holds the table.
     pub near: bool,
+    /// Hash of its data centre's name.
+    pub zone_seed: u64,
     /// Its standing.
     pub status: MemberStatus,
     /// Slots of its target.
@@ -49,6 +56,7 @@
                     control: m.control,
                     service: service.into(),
                     near: m.zone == *zone,
+                    zone_seed: xxh3_64(m.zone.as_str().as_bytes()),
                     status: m.status,
                     slots: m.weight.0,
                 }),
@@ -99,7 +107,8 @@
     }
 
     /// Returns where the search for the owner of `flow` goes on behind `place`, other than to `me`: first
-    /// to the directories, then to each agent of `services`, whose target may hold it.
+    /// to the directories, then to each agent of `services`, whose target may hold it, one data centre after
+    /// the other.
     ///
     /// Agents that are suspect are left out: a packet sent there would end the search.
     #[must_use]
@@ -124,7 +133,7 @@
             .iter()
             .filter(|a| a.status < MemberStatus::Suspect && services.contains(&a.service))
             .filter(|a| Some(a.process) != me)
-            .map(|a| (flow.score(address_seed(a.control)), a))
+            .map(|a| (search_score(flow, a), a))
             .filter(|(score, _)| below.is_none_or(|below| *score < below))
             .max_by_key(|(score, _)| *score)
             .map(|(score, agent)| (SearchPlace::Holder(score), agent))
@@ -142,6 +151,13 @@
     }
 }
 
+/// Returns the place of an agent in the search for the owner of `flow`: the data centre's part comes first, as
+/// bytes between data centres cost, and each step between them takes time.
+fn search_score(flow: &FlowTuple, agent: &AgentEntry) -> u64 {
+    let zone = flow.score(agent.zone_seed) & ZONE_BITS;
+    zone | flow.score(address_seed(agent.control)) & !ZONE_BITS
+}
+
 fn address_seed(addr: SocketAddrV4) -> u64 {
     (u64::from(u32::from(*addr.ip())) << 16) | u64::from(addr.port())
 }
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -10,6 +10,7 @@
 use crate::agent_table::{AgentEntry, AgentTable};
 use crate::envelope::{Envelope, Errand, Search, SearchPlace};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
+use crate::generations::Generations;
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{Fit, TargetFlows, TargetLoad};
@@ -38,6 +39,8 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(1200);
 /// Packets given to the target on trial that are remembered until it gives them back.
 const TRIALS: usize = 1024;
+/// Flows of one generation that the target has given back, 12 bytes each.
+const NOT_HELD: usize = 20_000;
 
 /// What the agent knows of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +55,17 @@
     Gone,
 }
 
+/// Whether a target has a process, as an attempt to connect to it has shown when the agent started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetPresence {
+    /// No answer, or none yet.
+    Unknown,
+    /// The connection was refused: there is none, and whichever comes starts after the agent.
+    Absent,
+    /// The connection was accepted.
+    Present,
+}
+
 /// Why a packet went to another agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PassReason {
@@ -216,6 +230,7 @@
     service: ServiceTag,
     slots: u16,
     standing: TargetStanding,
+    presence: TargetPresence,
     stopping: bool,
     started: Timestamp,
     heartbeat_every: Duration,
@@ -225,6 +240,8 @@
     directory: FlowDirectory,
     trials: Vec<Option<Envelope>>,
     next_trial: usize,
+    /// Flows that the target has given back. It can hold one only after an opening packet that passed here.
+    not_held: Generations<FlowTuple, ()>,
 }
 
 impl FlowGate {
@@ -237,6 +254,7 @@
             service,
             slots: 1,
             standing: TargetStanding::Unknown,
+            presence: TargetPresence::Unknown,
             stopping: false,
             started: now,
             heartbeat_every: HEARTBEAT_EVERY,
@@ -245,6 +263,7 @@
             directory: FlowDirectory::default(),
             trials: vec![None; TRIALS],
             next_trial: 0,
+            not_held: Generations::new(ALL_FLOWS_SEEN, NOT_HELD),
         }
     }
 
@@ -261,11 +280,21 @@
         let limit = self.heartbeat_every.mul_f64(HEARTBEATS_MISSED);
         match self.standing {
             TargetStanding::Gone => true,
-            TargetStanding::Unknown => now.since(self.started) >= limit,
+            TargetStanding::Unknown => {
+                self.presence == TargetPresence::Absent || now.since(self.started) >= limit
+            }
             TargetStanding::Ready | TargetStanding::Leaving => false,
         }
     }
 
+    /// Takes in what an attempt to connect to the target has shown; its own word counts for more.
+    pub fn set_presence(&mut self, presence: TargetPresence) {
+        if self.standing == TargetStanding::Unknown {
+            self.presence = presence;
+            self.sees_all = presence == TargetPresence::Absent;
+        }
+    }
+
     /// Sets what is known of the target.
     pub fn set_standing(&mut self, standing: TargetStanding, slots: u16) {
         self.standing = standing;
@@ -327,7 +356,11 @@
     pub fn takes_new(&self, now: Timestamp) -> bool {
         !self.stopping
             && !self.target_silent(now)
-            && matches!(self.standing, TargetStanding::Ready | TargetStanding::Unknown)
+            && match self.standing {
+                TargetStanding::Ready => true,
+                TargetStanding::Unknown => self.presence != TargetPresence::Absent,
+                TargetStanding::Leaving | TargetStanding::Gone => false,
+            }
     }
 
     /// Takes in the record of a flow of another agent.
@@ -391,6 +424,7 @@
                 return self.refuse(RefuseReason::Crowded, env, passed);
             }
         }
+        self.not_held.remove(&seg.flow);
         self.flows.opening(seg.flow, copies, now);
         // The balancer knows only the agent that it chose itself.
         let tell = (!passed.is_empty()).then_some(env.origin);
@@ -457,11 +491,13 @@
         let may_hold = fit == Fit::Unknown
             && blind
             && !self.has_no_target(now)
+            && self.not_held.peek(&seg.flow).is_none()
             && arrival.services().contains(&self.service);
         if !may_hold {
             return self.search_on(arrival, lookup);
         }
-        if self.standing == TargetStanding::Unknown {
+        let unheard = self.standing == TargetStanding::Unknown;
+        if unheard && self.presence == TargetPresence::Unknown {
             // Nothing tells yet whether there is a target that could give the packet back.
             return Verdict::Try { onward: Box::new(self.search_on(arrival, lookup.unsure())) };
         }
@@ -527,6 +563,7 @@
             .flatten();
         self.flows.heard();
         self.flows.forget(&seg.flow);
+        self.not_held.insert(seg.flow, (), now);
         match trial {
             Some(env) => self.after_trial(Arrival { seg, env: &env, known, now }),
             None => Verdict::Drop,
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`flow_placement`] | which agent a balancer gives a new packet flow to |
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
+//! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
 //! | [`scheduler`] | which request runs next on a target, and which is refused |
@@ -37,6 +38,7 @@
 pub mod numbers;
 pub mod owner_cache;
 pub mod pause_watch;
+pub mod pending_searches;
 pub mod placement;
 pub mod retry_budget;
 pub mod route_table;
@@ -66,6 +68,7 @@
 pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
 pub use owner_cache::{Owner, OwnerCache};
 pub use pause_watch::PauseWatch;
+pub use pending_searches::PendingSearches;
 pub use route_table::{RouteEntry, RouteTable};
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
--- a/crates/dillmill-core/src/segment.rs
+++ b/crates/dillmill-core/src/segment.rs
@@ -38,3 +38,15 @@
     /// The number that the packet was given on its way to the target, where it was given back.
     pub mark: u32,
 }
+
+impl Segment {
+    /// Returns whether its sender, an end of an open flow, sends it again until an answer comes.
+    #[must_use]
+    pub fn wants_answer(&self) -> bool {
+        match self.kind {
+            SegmentKind::Data => self.len > 0,
+            SegmentKind::Finish => true,
+            SegmentKind::Open { .. } | SegmentKind::Accept | SegmentKind::Reset => false,
+        }
+    }
+}
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use dillmill_core::flow_gate::{Known, PassReason, RefuseReason, TargetStanding, Verdict};
+use dillmill_core::flow_gate::{
+    Known, PassReason, RefuseReason, TargetPresence, TargetStanding, Verdict,
+};
 use dillmill_core::{
     AgentTable, Envelope, Errand, FlowGate, FlowTuple, Member, MemberStatus, ProcessId, Revision,
     Role, RouteEntry, RouteTable, Search, SearchPlace, Segment, SegmentKind, ServiceTag, Timestamp,
@@ -549,3 +551,95 @@
     }
     assert_eq!(gate.load(NOW).requests, 0);
 }
+
+#[test]
+fn given_back_once_is_enough() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = restarted_gate();
+    let env = envelope(search(SearchPlace::Directory(0)));
+    let Verdict::Deliver { mark, .. } = arrived(&mut gate, &request(1), &env, known) else {
+        panic!("not tried at the target")
+    };
+    let back = Segment { returned: true, mark, ..request(1) };
+    let onward = gate.returned(&back, known, NOW);
+    assert!(matches!(onward, Verdict::Pass { reason: PassReason::Search, .. }));
+    let again = arrived(&mut gate, &request(1), &env, known);
+    assert!(matches!(again, Verdict::Pass { reason: PassReason::Search, .. }), "{again:?}");
+    // A new flow with the same addresses and ports is another matter.
+    open_flow(&mut gate, 1, known);
+    let found = arrived(&mut gate, &request(1), &env, known);
+    assert!(matches!(found, Verdict::Deliver { mark: 0, .. }), "{found:?}");
+}
+
+/// Bytes between data centres cost, and so does the time of each step.
+#[test]
+fn search_takes_one_data_centre_after_the_other() {
+    let members: Vec<Member> = (1..=12)
+        .map(|n| {
+            let zone = format!("zone-{}", n % 3).parse().unwrap();
+            Member { zone, ..member(n, "orders", MemberStatus::Serving) }
+        })
+        .collect();
+    let zone_of = |process: ProcessId| process.0 % 3;
+    let all = agents(&members);
+    for port in 0..50 {
+        let mut zones = Vec::new();
+        let mut asked = 0;
+        let mut place = None;
+        while let Some((next, agent)) =
+            all.next_in_search(&flow(port), &[tag("orders")], place, None)
+        {
+            if matches!(next, SearchPlace::Holder(_)) {
+                zones.push(zone_of(agent.process));
+                asked += 1;
+            }
+            place = Some(next);
+        }
+        zones.dedup();
+        assert_eq!((asked, zones.len()), (12, 3), "flow {port}: {zones:?}");
+    }
+}
+
+/// A refused connection proves that there is no target; without it the search could not be sure for seconds.
+#[test]
+fn absent_target_holds_nothing() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    gate.set_presence(TargetPresence::Absent);
+    let verdict = arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Holder(0))), known);
+    assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+    assert!(matches!(arrived(&mut gate, &open(2), &place(), known), Verdict::Pass { .. }));
+    // Whichever target comes now has all its flows from here.
+    gate.set_standing(TargetStanding::Ready, 5);
+    open_flow(&mut gate, 3, known);
+    let verdict = arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Holder(0))), known);
+    assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+}
+
+/// A target that is there gives back what it does not hold, whether it has spoken yet or not.
+#[test]
+fn present_target_is_asked() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    gate.set_presence(TargetPresence::Present);
+    let env = envelope(search(SearchPlace::Holder(0)));
+    let Verdict::Deliver { mark, .. } = arrived(&mut gate, &request(1), &env, known) else {
+        panic!("not tried at the target")
+    };
+    let back = Segment { returned: true, mark, ..request(1) };
+    assert_eq!(gate.returned(&back, known, NOW), Verdict::Missing { origin: control(9) });
+}
+
+/// The word of the target counts for more than an attempt to connect that was made before.
+#[test]
+fn late_look_changes_nothing() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = restarted_gate();
+    gate.set_presence(TargetPresence::Absent);
+    let env = envelope(search(SearchPlace::Holder(0)));
+    assert!(matches!(arrived(&mut gate, &request(1), &env, known), Verdict::Deliver { .. }));
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use compio::net::UdpSocket;
-use dillmill_core::flow_gate::{Known, TargetStanding, Verdict};
+use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
 use dillmill_core::flow_placement::REPORT_EVERY;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
@@ -22,6 +22,7 @@
 
 use crate::decision_log::DecisionLog;
 use crate::flow_metrics::AgentCounters;
+use crate::presence;
 use crate::registrations::Registrations;
 use crate::sockets::{self, datagrams, ticks};
 
@@ -47,6 +48,7 @@
     Flow(SocketAddrV4, FlowMessage),
     Call(EndpointCall),
     Stop(StopRequest),
+    Presence(TargetPresence),
     Tick,
 }
 
@@ -142,6 +144,7 @@
             flows.into_stream().map(|(from, m)| Event::Flow(from, m)).boxed_local(),
             calls.into_stream().map(Event::Call).boxed_local(),
             stops.into_stream().map(Event::Stop).boxed_local(),
+            stream::once(presence::look(self.target)).map(Event::Presence).boxed_local(),
             ticks(TICK).map(|()| Event::Tick).boxed_local(),
         ]);
         while let Some(event) = events.next().await {
@@ -159,6 +162,7 @@
                 Event::Flow(from, message) => self.message(from, message, now),
                 Event::Call(call) => self.call(call, now).await,
                 Event::Stop(request) => self.stop(request, now),
+                Event::Presence(presence) => self.take_presence(presence),
                 Event::Tick => self.tick(now),
             }
         }
@@ -257,7 +261,7 @@
             Verdict::Missing { origin } => {
                 self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
                 // Only a caller that waits for something needs to know.
-                if seg.kind == SegmentKind::Data && seg.len > 0 {
+                if seg.wants_answer() {
                     let message = FlowMessage::Missing { flow: seg.flow, caller_expects: seg.ack };
                     self.handle.send(origin, Message::Flow(message));
                 }
@@ -391,6 +395,14 @@
         self.finish_stop(now);
     }
 
+    fn take_presence(&mut self, presence: TargetPresence) {
+        let standing = self.gate.standing();
+        self.gate.set_presence(presence);
+        let what = format!("target at {} {presence:?}", self.target);
+        let cause = format!("attempt to connect, standing {standing:?}");
+        self.handle.journal.record(EventKind::Member, what, cause);
+    }
+
     fn stop(&mut self, request: StopRequest, now: Timestamp) {
         self.gate.stop();
         self.handle.leave();
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use compio::net::UdpSocket;
-use dillmill_core::generations::Generations;
 use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    PauseWatch, RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+    PauseWatch, PendingSearches, RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp,
+    ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -28,9 +28,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// For this long after its start a balancer may not know all agents.
 const YOUNG: Duration = Duration::from_secs(2);
-/// Packets kept while their owners are searched, and for how long.
-const KEPT_PACKETS: usize = 2000;
-const KEPT_FOR: Duration = Duration::from_secs(1);
 
 /// Whether the routers are to send packets to a balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,8 +68,7 @@
     placement: FlowPlacement,
     pauses: PauseWatch,
     started: Timestamp,
-    /// Packets whose owners are being searched.
-    kept: Generations<FlowTuple, Vec<u8>>,
+    searches: PendingSearches,
     again: flume::Sender<FlowTuple>,
     repeated: flume::Receiver<FlowTuple>,
 }
@@ -107,7 +103,7 @@
             placement: FlowPlacement::default(),
             pauses: PauseWatch::new(TICK * 2),
             started: now,
-            kept: Generations::new(KEPT_FOR, KEPT_PACKETS),
+            searches: PendingSearches::default(),
             again,
             repeated,
         }
@@ -139,7 +135,7 @@
                 Event::Load(report) => self.placement.report(report),
                 Event::Flow(message) => self.message(message, now).await,
                 Event::Again(flow) => self.search_again(flow, now).await,
-                Event::Tick => self.tick(now),
+                Event::Tick => self.tick(now).await,
             }
         }
     }
@@ -154,7 +150,10 @@
         }
     }
 
-    fn tick(&mut self, now: Timestamp) {
+    async fn tick(&mut self, now: Timestamp) {
+        for flow in self.searches.take_due(now) {
+            self.search_again(flow, now).await;
+        }
         for to in self.placement.to_ask(now) {
             self.handle.send(to, Message::Flow(FlowMessage::AskLoad));
         }
@@ -302,8 +301,8 @@
         self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
             format!("owner not known or gone, {} agents", self.agents.iter().count())
         });
-        if seg.len > 0 {
-            self.kept.insert(seg.flow, buf.to_vec(), now);
+        if seg.wants_answer() {
+            self.searches.begin(seg.flow, buf, now);
         }
         let errand = Errand::Search(Search { place, steps: 1, sure: true });
         self.send(service, errand, buf, first).await;
@@ -336,10 +335,13 @@
     }
 
     async fn search_again(&mut self, flow: FlowTuple, now: Timestamp) {
-        let found = self.owners.get(&flow, now).is_some();
-        let Some(buf) = self.kept.remove(&flow).filter(|_| !found) else { return };
+        let owner = self.owners.get(&flow, now);
+        if owner.is_some_and(|owner| self.agents.at(owner.data).is_some()) {
+            return self.searches.end(&flow);
+        }
+        let Some(buf) = self.searches.packet(&flow).map(<[u8]>::to_vec) else { return };
         let routes = self.routes.clone();
-        let Some(route) = routes.get(flow.route()) else { return };
+        let Some(route) = routes.get(flow.route()) else { return self.searches.end(&flow) };
         let Ok(seg) = packet::decode(&buf, Sender::Caller) else { return };
         let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
         self.search(&seg, service, &route.services(), &buf, now).await;
@@ -349,12 +351,14 @@
         match message {
             FlowMessage::Owner { flow, owner, data } => {
                 self.owners.set(flow, Owner { process: owner, data }, now);
+                self.searches.end(&flow);
             }
             FlowMessage::Missing { flow, caller_expects } => {
                 if !self.owners.missing(flow, now) {
                     self.search_later(flow);
                     return;
                 }
+                self.searches.end(&flow);
                 self.counters.missing.inc();
                 self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
                 self.reset(&flow, caller_expects).await;
--- a/crates/dillmill-flow/src/lib.rs
+++ b/crates/dillmill-flow/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod decision_log;
 pub mod endpoints;
 pub mod flow_metrics;
+pub mod presence;
 pub mod registrations;
 pub mod reload;
 pub mod route_watch;
