fix(core): a view settles while records change; a search asks every agent

Cause (logs): after a restart of everything no search was sure until 3.1 s after the agents' start. A young process held its view for complete only when a peer held the very same records, and these change all the time then. Besides, a search gave up after 64 steps and called the flow missing although agents had not been asked: with more targets than that, a flow that runs could have been reset.

Ruled out: suspect agents (none had slots).

Change: from 1 s after its start, a process that has heard of no new one for 0.4 s, and has compared its records since, takes its view for complete. The bound on steps is a guard only (1000), and ends a search without a verdict.

Tests: view_settles_while_records_change failed before; search_of_a_large_service_asks_all asks 200 agents.

--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -33,7 +33,7 @@
     /// The agent that has the packet, or had it last, in the order of search.
     pub place: SearchPlace,
     /// Agents that have had the packet.
-    pub steps: u8,
+    pub steps: u16,
     /// Each of them could tell that its target does not hold the flow.
     pub sure: bool,
 }
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -25,9 +25,9 @@
 const AIM_SHARE: u32 = 55;
 /// The same where a route has no aim, in rounds of work.
 const ROUNDS: u32 = 3;
-/// Agents asked for the owner of a flow; more than the targets of any one service to come (9 on
-/// average) leave room for several.
-const SEARCH_STEPS: u8 = 64;
+/// Steps of one search. It visits each agent of a service once, so this only ends one that goes wrong; the
+/// largest service seen has some 220 targets (a fleet of 300 VMs with two services).
+const SEARCH_STEPS: u16 = 1000;
 /// How often a packet is sent where a record says before the search goes on in order: an opening packet
 /// passed on three times leaves as many records.
 const DIRECTIONS: u8 = 4;
@@ -157,7 +157,7 @@
         self.search.is_none_or(|search| search.sure)
     }
 
-    fn steps(&self) -> u8 {
+    fn steps(&self) -> u16 {
         self.search.map_or(0, |search| search.steps)
     }
 
@@ -531,10 +531,10 @@
         let Arrival { seg, env, known, .. } = arrival;
         let services = arrival.services();
         let me = Some(self.me);
-        let next = (lookup.steps() < SEARCH_STEPS)
-            .then(|| known.agents.next_in_search(&seg.flow, &services, lookup.place(), me))
-            .flatten();
-        match next {
+        if lookup.steps() >= SEARCH_STEPS {
+            return Verdict::Drop;
+        }
+        match known.agents.next_in_search(&seg.flow, &services, lookup.place(), me) {
             Some((place, agent)) => {
                 let search = Search { place, steps: lookup.steps() + 1, sure: lookup.sure() };
                 let envelope = Envelope { errand: Errand::Search(search), ..env.clone() };
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -42,6 +42,11 @@
 const YOUNG: Duration = Duration::from_secs(3);
 const YOUNG_SYNC_INTERVAL: Duration = Duration::from_millis(150);
 const YOUNG_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// When all processes start together, they do within 0.3 s; the rest is for slow ones.
+const ALL_STARTED: Duration = Duration::from_secs(1);
+/// A process that starts is known to most others after some 100 ms; a young one compares its records with a
+/// peer's every 150 ms.
+const NO_NEWCOMER: Duration = Duration::from_millis(400);
 /// A tick that comes this late means that this process was paused, not that others were silent.
 const PAUSE: Duration = Duration::from_millis(800);
 const HELPERS: usize = 2;
@@ -88,6 +93,10 @@
     first_tick: Option<Timestamp>,
     /// The last peer that was compared with held the same records.
     agrees: bool,
+    /// When a process became known that was not known before.
+    last_newcomer: Option<Timestamp>,
+    /// When a peer last showed which records it holds.
+    last_compared: Option<Timestamp>,
     pauses: PauseWatch,
     revision: Revision,
     /// Peers to compare all records with.
@@ -116,6 +125,8 @@
             next_sync: Timestamp::default(),
             first_tick: None,
             agrees: false,
+            last_newcomer: None,
+            last_compared: None,
             pauses: PauseWatch::new(PAUSE),
             revision: Revision::default(),
             wants_sync: VecDeque::new(),
@@ -185,10 +196,21 @@
 
     /// Returns whether the view holds all processes, as far as can be told.
     ///
-    /// A process that has just started can tell once a peer holds the same records.
+    /// A process that has just started can tell once a peer holds the same records, or once it has heard of no
+    /// new process for a while. After a restart of everything records change all the time, so that no two
+    /// processes hold the same ones for seconds.
     #[must_use]
     pub fn settled(&self, now: Timestamp) -> bool {
-        self.agrees || !self.is_young(now)
+        self.agrees || !self.is_young(now) || self.hears_of_nobody_new(now)
+    }
+
+    fn hears_of_nobody_new(&self, now: Timestamp) -> bool {
+        let old_enough = self.first_tick.is_some_and(|first| now.since(first) >= ALL_STARTED);
+        let quiet_since = |newcomer: Timestamp| {
+            let compared = self.last_compared.is_some_and(|compared| compared > newcomer);
+            compared && now.since(newcomer) >= NO_NEWCOMER
+        };
+        old_enough && self.last_newcomer.is_some_and(quiet_since)
     }
 
     /// Returns a number that grows with every change of the view.
@@ -310,6 +332,9 @@
         if let Some(old) = self.entries.get(&process) {
             self.hash ^= record_hash(&old.member);
         }
+        if before.is_none() {
+            self.last_newcomer = Some(now);
+        }
         if before != Some(member.status) {
             self.changes.push(MemberChange { member: member.clone(), before });
         }
@@ -557,6 +582,7 @@
     fn compare(&mut self, from: SocketAddrV4, digest: Digest, now: Timestamp) {
         self.retire_others_at(from, digest.process, now);
         self.agrees = digest.members == self.hash;
+        self.last_compared = Some(now);
         if digest.members != self.hash && now >= self.next_sync {
             let young = self.is_young(now);
             self.next_sync = now + if young { YOUNG_SYNC_INTERVAL } else { SYNC_INTERVAL };
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -643,3 +643,31 @@
     let env = envelope(search(SearchPlace::Holder(0)));
     assert!(matches!(arrived(&mut gate, &request(1), &env, known), Verdict::Deliver { .. }));
 }
+
+/// With more targets than any bound on steps would allow, a search that has not asked all proves nothing.
+#[test]
+fn search_of_a_large_service_asks_all() {
+    let members: Vec<Member> =
+        (1..=200).map(|n| member(n, "orders", MemberStatus::Serving)).collect();
+    let all = agents(&members);
+    let routes = routes(1, "orders");
+    let known = Known { agents: &all, routes: &routes, settled: true };
+    let mut asked = 0;
+    let mut env = envelope(search(SearchPlace::Directory(1)));
+    loop {
+        let mut gate = FlowGate::new(ProcessId(201), data(201), tag("orders"), NOW);
+        gate.new_target(tag("orders"));
+        gate.set_standing(TargetStanding::Ready, 5);
+        match arrived(&mut gate, &request(1), &env, known) {
+            Verdict::Pass { envelope, .. } => {
+                asked += 1;
+                env = envelope;
+            }
+            verdict => {
+                assert_eq!(verdict, Verdict::Missing { origin: control(9) });
+                break;
+            }
+        }
+    }
+    assert_eq!(asked, 200);
+}
--- a/crates/dillmill-core/tests/membership_views.rs
+++ b/crates/dillmill-core/tests/membership_views.rs
@@ -227,3 +227,36 @@
     view.tick(now, &mut |n| rng.random_range(0..n));
     assert!(view.others().all(|m| m.status == MemberStatus::Serving));
 }
+
+/// Records that change all the time keep no process from telling that it knows all others.
+#[test]
+fn view_settles_while_records_change() {
+    let mut net = Net::new(8, |i| vec![addr(i % 8 + 1)]);
+    let mut settled_at = None;
+    for round in 0..60_u64 {
+        for n in 1..=8 {
+            let view = net.views.get_mut(&addr(n)).unwrap();
+            view.update_me(|me| me.weight = Weight(u16::try_from(100 + round % 7).unwrap()));
+        }
+        net.run(STEP);
+        let now = net.now;
+        if net.views.values().all(|view| view.settled(now)) {
+            settled_at.get_or_insert(round * 50);
+        }
+    }
+    let settled_at = settled_at.expect("settled within 3 s");
+    assert!((1000..1600).contains(&settled_at), "after {settled_at} ms");
+}
+
+/// A process that knows nobody yet, or has just heard of a new one, can't tell.
+#[test]
+fn newcomers_leave_a_view_unsettled() {
+    let mut net = Net::new(2, |_| vec![addr(2)]);
+    net.cut.push(addr(2));
+    net.run(Duration::from_millis(1500));
+    assert!(!net.views[&addr(1)].settled(net.now));
+    let now = net.now;
+    let view = net.views.get_mut(&addr(1)).unwrap();
+    view.learn(member(3), now);
+    assert!(!view.settled(now));
+}
