feat(flow): agents without a target say so, and no search visits them

Cause (logs): 13 VMs whose targets had been replaced came back without one after the loss of power, and were taken away within the next ten seconds. Each search visits all agents in turn, and a packet passed to a VM that has just gone is lost, so between 37.5 and 42.5 s hardly a search came to its end.

Ruled out: unsure agents (all steps of the lost searches were sure).

Change: a standing `empty` between leaving and suspect: an agent says it when its target has ended (1 s after its word), was never there (connection refused) or has not spoken in 2.5 heartbeats. Empty agents are in no table of agents: neither searched nor directories.

--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -15,7 +15,7 @@
 /// Bits of a search score that come from the data centre; two with the same ones are visited as one.
 const ZONE_BITS: u64 = 0xffff << 48;
 
-/// An agent that is not known to be down.
+/// An agent that is not known to be down and has a target, as far as it has said.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentEntry {
     /// This run of the agent.
@@ -36,7 +36,8 @@
     pub slots: u16,
 }
 
-/// All agents that are not known to be down.
+/// All agents that are not known to be down, but for those without a target: no flow can be there, and their VMs
+/// are mostly about to go.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AgentTable {
     agents: Vec<AgentEntry>,
@@ -48,7 +49,7 @@
     pub fn new<'a>(members: impl IntoIterator<Item = &'a Member>, zone: &ZoneName) -> Self {
         let agents = members
             .into_iter()
-            .filter(|m| m.status != MemberStatus::Down)
+            .filter(|m| !matches!(m.status, MemberStatus::Empty | MemberStatus::Down))
             .filter_map(|m| match &m.role {
                 Role::Agent(service) => Some(AgentEntry {
                     process: m.process,
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -37,6 +37,8 @@
 const HEARTBEATS_MISSED: f64 = 2.5;
 /// Interval of heartbeats where the settings give none.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(1200);
+/// A target that has said that it ends is gone after this time: it still sends what it has ready.
+const ENDED_AFTER: Duration = Duration::from_secs(1);
 /// Packets given to the target on trial that are remembered until it gives them back.
 const TRIALS: usize = 1024;
 /// Flows of one generation that the target has given back, 12 bytes each.
@@ -231,6 +233,8 @@
     slots: u16,
     standing: TargetStanding,
     presence: TargetPresence,
+    /// Since when there is no target.
+    no_target_since: Option<Timestamp>,
     stopping: bool,
     started: Timestamp,
     heartbeat_every: Duration,
@@ -255,6 +259,7 @@
             slots: 1,
             standing: TargetStanding::Unknown,
             presence: TargetPresence::Unknown,
+            no_target_since: None,
             stopping: false,
             started: now,
             heartbeat_every: HEARTBEAT_EVERY,
@@ -287,6 +292,16 @@
         }
     }
 
+    /// Returns whether no flow can be here, as there is no target that could hold one.
+    pub fn is_empty(&mut self, now: Timestamp) -> bool {
+        if !self.has_no_target(now) {
+            self.no_target_since = None;
+            return false;
+        }
+        let since = *self.no_target_since.get_or_insert(now);
+        self.standing == TargetStanding::Unknown || now.since(since) >= ENDED_AFTER
+    }
+
     /// Takes in what an attempt to connect to the target has shown; its own word counts for more.
     pub fn set_presence(&mut self, presence: TargetPresence) {
         if self.standing == TargetStanding::Unknown {
--- a/crates/dillmill-core/src/member.rs
+++ b/crates/dillmill-core/src/member.rs
@@ -32,6 +32,8 @@
     Serving,
     /// Finishes what it has and takes no new work, by its own word.
     Leaving,
+    /// Has no target, by its own word, and so holds no flow; takes no new work.
+    Empty,
     /// Did not answer; takes no new work until it speaks again.
     Suspect,
     /// Stayed silent, or said that it has stopped.
@@ -43,6 +45,7 @@
         f.write_str(match self {
             Self::Serving => "serving",
             Self::Leaving => "leaving",
+            Self::Empty => "empty",
             Self::Suspect => "suspect",
             Self::Down => "down",
         })
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -671,3 +671,34 @@
     }
     assert_eq!(asked, 200);
 }
+
+/// Agents without a target are mostly about to go with their VMs: a packet passed to one may be lost.
+#[test]
+fn empty_agent_not_searched() {
+    let members =
+        [member(1, "orders", MemberStatus::Serving), member(2, "orders", MemberStatus::Empty)];
+    let table = agents(&members);
+    assert!(table.at(data(2)).is_none());
+    assert_eq!(table.directory(&flow(1)).len(), 1);
+}
+
+#[test]
+fn ended_target_leaves_its_agent_empty() {
+    let later = |ms| NOW + Duration::from_millis(ms);
+    let mut gate = gate();
+    assert!(!gate.is_empty(NOW));
+    gate.set_standing(TargetStanding::Gone, 5);
+    assert!(!gate.is_empty(later(100)));
+    assert!(!gate.is_empty(later(900)));
+    assert!(gate.is_empty(later(1200)));
+    gate.set_standing(TargetStanding::Ready, 5);
+    assert!(!gate.is_empty(later(1300)));
+}
+
+#[test]
+fn agent_without_target_is_empty_at_once() {
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    assert!(!gate.is_empty(NOW));
+    gate.set_presence(TargetPresence::Absent);
+    assert!(gate.is_empty(NOW));
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -88,6 +88,8 @@
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
     silent: bool,
+    /// The others have been told that no flow is here.
+    empty: bool,
     pauses: PauseWatch,
     stopping: Option<(StopRequest, Timestamp)>,
 }
@@ -126,6 +128,7 @@
             origins: HashMap::new(),
             run: None,
             silent: false,
+            empty: false,
             pauses: PauseWatch::new(TICK * 2),
             stopping: None,
         }
@@ -392,6 +395,7 @@
             self.report_to(balancer, now);
         }
         self.watch_silence(now);
+        self.watch_emptiness(now);
         self.finish_stop(now);
     }
 
@@ -507,11 +511,21 @@
         }
     }
 
+    /// Says so when there is no target, so that nobody searches for flows here.
+    fn watch_emptiness(&mut self, now: Timestamp) {
+        if !self.empty && self.gate.is_empty(now) {
+            self.empty = true;
+            self.handle.update_me(|me| me.weight = Weight(0));
+            self.handle.empty();
+        }
+    }
+
     fn set_standing(&mut self, standing: TargetStanding, slots: u16, id: &str, cause: &str) {
         let before = self.gate.standing();
         let slots_before = self.gate.slots();
         self.gate.set_standing(standing, slots);
-        if slots != slots_before || before == TargetStanding::Unknown {
+        let was_empty = standing != TargetStanding::Gone && std::mem::take(&mut self.empty);
+        if slots != slots_before || before == TargetStanding::Unknown || was_empty {
             self.handle.update_me(move |me| me.weight = Weight(slots));
         }
         if before == standing {
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -130,6 +130,7 @@
             Input::Event { now, kind, what, cause } => self.events.push(now, kind, what, cause),
             Input::Platform { reachable, cause } => self.platform(reachable, cause),
             Input::Leave => self.set_status(MemberStatus::Leaving, now).await,
+            Input::Empty => self.set_status(MemberStatus::Empty, now).await,
             Input::Serve => self.set_status(MemberStatus::Serving, now).await,
             Input::Stopped(tx) => {
                 self.set_status(MemberStatus::Down, now).await;
@@ -434,7 +435,7 @@
             let cause = match change.member.status {
                 MemberStatus::Suspect => "no answer to probes",
                 MemberStatus::Down => "silent, replaced, or own word",
-                MemberStatus::Serving | MemberStatus::Leaving => "own word",
+                MemberStatus::Serving | MemberStatus::Leaving | MemberStatus::Empty => "own word",
             };
             self.handle.journal.record(EventKind::Member, describe(&change), cause);
         }
--- a/crates/dillmill-node/src/control/input.rs
+++ b/crates/dillmill-node/src/control/input.rs
@@ -90,6 +90,8 @@
     },
     /// Take no new work.
     Leave,
+    /// Say that this process has no target.
+    Empty,
     /// Take new work.
     Serve,
     /// The process ends.
