feat(flow): one search a flow at a time; second searches ask the directories

Cause (logs): 165,000 decisions a second in the 1.5 s after everything came back, nearly all steps of searches, so that agents of 0.15 cores had no time for requests. Each packet of an upload was searched for by itself (16 at once), the second search went through all agents again, and agents tried packets at cold targets although the search could prove nothing yet.

Ruled out: dropping searches while views are unsettled: flows that outlive a kill of all processes are found by just these.

Change: packets of a flow wait for a search that began within 100 ms, and follow to the owner when it is found; the second search, 50 ms later, asks only the directories, where a new owner has registered; an unsure search passes by targets that have only just started, by their own word.

--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -36,6 +36,18 @@
     pub steps: u16,
     /// Each of them could tell that its target does not hold the flow.
     pub sure: bool,
+    /// Whom it visits.
+    pub scope: SearchScope,
+}
+
+/// Whom a search visits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SearchScope {
+    /// The flow's directories, then each agent whose target may hold it.
+    All,
+    /// The directories once more: the agents have just been asked, and one that has taken the flow meanwhile
+    /// has registered it.
+    Directories,
 }
 
 /// A place in the order of search.
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::agent_table::{AgentEntry, AgentTable};
-use crate::envelope::{Envelope, Errand, Search, SearchPlace};
+use crate::envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::generations::Generations;
 use crate::route_table::{RouteEntry, RouteTable};
@@ -155,18 +155,16 @@
         self.search.map(|search| search.place)
     }
 
-    fn sure(&self) -> bool {
-        self.search.is_none_or(|search| search.sure)
-    }
-
-    fn steps(&self) -> u16 {
-        self.search.map_or(0, |search| search.steps)
+    /// Returns the search so far, or one that begins here.
+    fn started(&self) -> Search {
+        let place = SearchPlace::Directory(0);
+        let start = Search { place, steps: 0, sure: true, scope: SearchScope::All };
+        self.search.unwrap_or(start)
     }
 
     /// One of the agents asked can't tell whether its target holds the flow.
     fn unsure(mut self) -> Self {
-        let start = Search { place: SearchPlace::Directory(0), steps: 0, sure: false };
-        self.search = Some(Search { sure: false, ..self.search.unwrap_or(start) });
+        self.search = Some(Search { sure: false, ..self.started() });
         self
     }
 }
@@ -233,6 +231,8 @@
     slots: u16,
     standing: TargetStanding,
     presence: TargetPresence,
+    /// The target has only just started, by its own word.
+    target_cold: bool,
     /// Since when there is no target.
     no_target_since: Option<Timestamp>,
     stopping: bool,
@@ -259,6 +259,7 @@
             slots: 1,
             standing: TargetStanding::Unknown,
             presence: TargetPresence::Unknown,
+            target_cold: false,
             no_target_since: None,
             stopping: false,
             started: now,
@@ -316,6 +317,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets whether the target has only just started.
+    pub fn set_cold(&mut self, cold: bool) {
+        self.target_cold = cold;
+    }
+
     /// Returns what is known of the target.
     #[must_use]
     pub fn standing(&self) -> TargetStanding {
@@ -516,6 +522,11 @@
             // Nothing tells yet whether there is a target that could give the packet back.
             return Verdict::Try { onward: Box::new(self.search_on(arrival, lookup.unsure())) };
         }
+        let claimed = !matches!(env.errand, Errand::Search(_));
+        if self.target_cold && !claimed && !lookup.started().sure {
+            // A search that proves nothing is about flows that run, and such a target has hardly any yet.
+            return self.search_on(arrival, lookup);
+        }
         let errand = match lookup.search {
             Some(search) => Errand::Search(search),
             None => Errand::Deliver,
@@ -534,9 +545,7 @@
         if record.data == self.data || known.agents.at(record.data).is_none() {
             return None;
         }
-        let start = Search { place: SearchPlace::Directory(0), steps: 0, sure: true };
-        let search = lookup.search.unwrap_or(start);
-        let errand = Errand::Directed { search, times: lookup.directed + 1 };
+        let errand = Errand::Directed { search: lookup.started(), times: lookup.directed + 1 };
         let envelope = Envelope { errand, ..env.clone() };
         Some(Verdict::Pass { to: record.data, envelope, reason: PassReason::Directed })
     }
@@ -546,16 +555,22 @@
         let Arrival { seg, env, known, .. } = arrival;
         let services = arrival.services();
         let me = Some(self.me);
-        if lookup.steps() >= SEARCH_STEPS {
+        let so_far = lookup.started();
+        if so_far.steps >= SEARCH_STEPS {
             return Verdict::Drop;
         }
-        match known.agents.next_in_search(&seg.flow, &services, lookup.place(), me) {
+        let next = known.agents.next_in_search(&seg.flow, &services, lookup.place(), me);
+        let in_scope = |place: SearchPlace| match so_far.scope {
+            SearchScope::All => true,
+            SearchScope::Directories => matches!(place, SearchPlace::Directory(_)),
+        };
+        match next.filter(|(place, _)| in_scope(*place)) {
             Some((place, agent)) => {
-                let search = Search { place, steps: lookup.steps() + 1, sure: lookup.sure() };
+                let search = Search { place, steps: so_far.steps + 1, ..so_far };
                 let envelope = Envelope { errand: Errand::Search(search), ..env.clone() };
                 Verdict::Pass { to: agent.data, envelope, reason: PassReason::Search }
             }
-            None if lookup.sure() && !known.agents.any_suspect(&services) => {
+            None if so_far.sure && !known.agents.any_suspect(&services) => {
                 Verdict::Missing { origin: env.origin }
             }
             None => Verdict::Drop,
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -53,7 +53,7 @@
 pub mod watch_duty;
 
 pub use agent_table::{AgentEntry, AgentTable};
-pub use envelope::{Envelope, Errand, Search, SearchPlace};
+pub use envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 pub use event::{Event, EventKind, EventLog};
 pub use flow_directory::{FlowDirectory, FlowRecord};
 pub use flow_gate::FlowGate;
--- a/crates/dillmill-core/src/pending_searches.rs
+++ b/crates/dillmill-core/src/pending_searches.rs
@@ -18,10 +18,17 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
 /// Repeats of one search.
 const REPEATS: u32 = 4;
+/// Packets of one flow that wait for the end of its search: as many as an end has under way.
+const WAITING: usize = 16;
+/// A packet that comes later than this after the search has begun is searched for itself: the answer to the search
+/// takes some milliseconds where a directory knows the owner.
+const WAIT: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
 struct Pending {
-    packet: Vec<u8>,
+    /// The one with which the search has begun, and those that came after it.
+    packets: Vec<Vec<u8>>,
+    begun: Timestamp,
     due: Timestamp,
     repeats: u32,
 }
@@ -39,22 +46,36 @@
 }
 
 impl PendingSearches {
-    /// Keeps the packet with which a search begins; one that the caller has sent again takes its place.
-    pub fn begin(&mut self, flow: FlowTuple, packet: &[u8], now: Timestamp) {
-        let repeats = self.pending.peek(&flow).map_or(0, |pending| pending.repeats);
+    /// Keeps a packet whose owner is not known; returns whether it is to be searched now. If a search for the
+    /// flow's owner has only just begun, the packet waits for its end.
+    pub fn begin(&mut self, flow: FlowTuple, packet: &[u8], now: Timestamp) -> bool {
+        let mut repeats = 0;
+        if let Some(pending) = self.pending.get_mut(&flow, now) {
+            if now.since(pending.begun) < WAIT {
+                if pending.packets.len() < WAITING {
+                    pending.packets.push(packet.to_vec());
+                }
+                return false;
+            }
+            repeats = pending.repeats;
+        }
         let due = now + REPEAT_AFTER * 2_u32.pow(repeats);
-        self.pending.insert(flow, Pending { packet: packet.to_vec(), due, repeats }, now);
+        let packets = vec![packet.to_vec()];
+        self.pending.insert(flow, Pending { packets, begun: now, due, repeats }, now);
+        true
     }
 
-    /// Forgets a flow: it is found, or its caller knows that it is over.
-    pub fn end(&mut self, flow: &FlowTuple) {
-        self.pending.remove(flow);
+    /// Forgets a flow: it is found, or its caller knows that it is over. Returns the packets that have waited.
+    pub fn end(&mut self, flow: &FlowTuple) -> Vec<Vec<u8>> {
+        let Some(pending) = self.pending.remove(flow) else { return Vec::new() };
+        pending.packets.into_iter().skip(1).collect()
     }
 
-    /// Returns the packet of a flow whose search is to be repeated at once.
-    #[must_use]
-    pub fn packet(&self, flow: &FlowTuple) -> Option<&[u8]> {
-        self.pending.peek(flow).map(|pending| pending.packet.as_slice())
+    /// Returns the packet with which the search for a flow's owner is to be repeated, which begins now.
+    pub fn repeat(&mut self, flow: &FlowTuple, now: Timestamp) -> Option<Vec<u8>> {
+        let pending = self.pending.get_mut(flow, now)?;
+        pending.begun = now;
+        pending.packets.first().cloned()
     }
 
     /// Returns the flows whose searches are due to be repeated, and counts the repeat.
@@ -63,6 +84,7 @@
         for (flow, pending) in self.pending.iter_mut() {
             if pending.due <= now && pending.repeats < REPEATS {
                 pending.repeats += 1;
+                pending.due = now + REPEAT_AFTER * 2_u32.pow(pending.repeats);
                 due.push(*flow);
             }
         }
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -464,6 +464,7 @@
         };
         self.gate.heard();
         self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
+        self.gate.set_cold(heartbeat.cold_ms > 0);
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
             TargetState::Draining => TargetStanding::Leaving,
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -11,8 +11,8 @@
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    PauseWatch, PendingSearches, RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp,
-    ZoneName,
+    PauseWatch, PendingSearches, RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag,
+    Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -134,7 +134,9 @@
                 Event::Packet(buf) => self.packet(&buf, now).await,
                 Event::Load(report) => self.placement.report(report),
                 Event::Flow(message) => self.message(message, now).await,
-                Event::Again(flow) => self.search_again(flow, now).await,
+                Event::Again(flow) => {
+                    self.search_again(flow, SearchScope::Directories, now).await;
+                }
                 Event::Tick => self.tick(now).await,
             }
         }
@@ -152,7 +154,7 @@
 
     async fn tick(&mut self, now: Timestamp) {
         for flow in self.searches.take_due(now) {
-            self.search_again(flow, now).await;
+            self.search_again(flow, SearchScope::All, now).await;
         }
         for to in self.placement.to_ask(now) {
             self.handle.send(to, Message::Flow(FlowMessage::AskLoad));
@@ -283,7 +285,7 @@
         self.search(seg, service, services, buf, now).await;
     }
 
-    /// Has the owner of a flow searched, and keeps the packet in case that finds nobody.
+    /// Has the owner of a flow searched, and keeps the packet until that is done.
     async fn search(
         &mut self,
         seg: &Segment,
@@ -291,6 +293,22 @@
         services: &[ServiceTag],
         buf: &[u8],
         now: Timestamp,
+    ) {
+        if seg.wants_answer() && !self.searches.begin(seg.flow, buf, now) {
+            return;
+        }
+        let scope = SearchScope::All;
+        self.send_search(seg, service, services, buf, scope, now).await;
+    }
+
+    async fn send_search(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        scope: SearchScope,
+        now: Timestamp,
     ) {
         self.counters.searched.inc();
         let Some((place, first)) =
@@ -301,10 +319,7 @@
         self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
             format!("owner not known or gone, {} agents", self.agents.iter().count())
         });
-        if seg.wants_answer() {
-            self.searches.begin(seg.flow, buf, now);
-        }
-        let errand = Errand::Search(Search { place, steps: 1, sure: true });
+        let errand = Errand::Search(Search { place, steps: 1, sure: true, scope });
         self.send(service, errand, buf, first).await;
     }
 
@@ -334,24 +349,38 @@
         .detach();
     }
 
-    async fn search_again(&mut self, flow: FlowTuple, now: Timestamp) {
+    async fn search_again(&mut self, flow: FlowTuple, scope: SearchScope, now: Timestamp) {
         let owner = self.owners.get(&flow, now);
         if owner.is_some_and(|owner| self.agents.at(owner.data).is_some()) {
-            return self.searches.end(&flow);
+            self.searches.end(&flow);
+            return;
         }
-        let Some(buf) = self.searches.packet(&flow).map(<[u8]>::to_vec) else { return };
         let routes = self.routes.clone();
-        let Some(route) = routes.get(flow.route()) else { return self.searches.end(&flow) };
+        let Some(route) = routes.get(flow.route()) else {
+            self.searches.end(&flow);
+            return;
+        };
+        let Some(buf) = self.searches.repeat(&flow, now) else { return };
         let Ok(seg) = packet::decode(&buf, Sender::Caller) else { return };
         let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
-        self.search(&seg, service, &route.services(), &buf, now).await;
+        self.send_search(&seg, service, &route.services(), &buf, scope, now).await;
+    }
+
+    /// Remembers the owner of a flow, and sends it the packets that have waited for that.
+    async fn found(&mut self, flow: FlowTuple, owner: Owner, now: Timestamp) {
+        self.owners.set(flow, owner, now);
+        let agent = self.agents.at(owner.data).map(|agent| agent.service);
+        for buf in self.searches.end(&flow) {
+            if let Some(service) = agent {
+                self.send(service, Errand::Deliver, &buf, owner.data).await;
+            }
+        }
     }
 
     async fn message(&mut self, message: FlowMessage, now: Timestamp) {
         match message {
             FlowMessage::Owner { flow, owner, data } => {
-                self.owners.set(flow, Owner { process: owner, data }, now);
-                self.searches.end(&flow);
+                self.found(flow, Owner { process: owner, data }, now).await;
             }
             FlowMessage::Missing { flow, caller_expects } => {
                 if !self.owners.missing(flow, now) {
