feat(flow): opening packets wait at a full target's agent

A caller tries again some milliseconds after a reset, so that a refusal by three full targets uses up all its tries within 20 ms.

Ruled out: refusing less (queues at the targets bounded by 75 and 95 percent of the aim were measured before: worse, since what comes in time waits behind what is late); dropping the packet (a request given up must be told at once).

What can still be answered in time goes first, the newest before the others; the rest is taken when a slot would have nothing to do. Settings, leaving and fullness are decided anew when its turn comes. What is pushed out or expires is refused, and has not run.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -122,6 +122,13 @@
         /// Why.
         reason: PassReason,
     },
+    /// Let the opening packet wait until the target can take it.
+    Wait {
+        /// Time that it may wait, and the target's work before it take, for an answer in time.
+        limit: Duration,
+        /// What came with it.
+        envelope: Envelope,
+    },
     /// Tell the balancer that no agent holds the flow.
     Missing {
         /// The balancer's control address.
@@ -442,7 +449,7 @@
                 return verdict;
             }
             if late {
-                return self.refuse(RefuseReason::Crowded, env, passed);
+                return Verdict::Wait { limit: self.time_limit(arrival), envelope: env.clone() };
             }
         }
         self.not_held.remove(&seg.flow);
@@ -454,11 +461,40 @@
 
     /// Returns whether a request behind `requests` others would miss the aim of its route.
     fn is_late(&self, requests: u32, arrival: Arrival<'_>) -> bool {
-        let work = self.flows.work();
-        let wait = work * (requests + 1) / u32::from(self.slots);
+        self.work_of(requests + 1) > self.time_limit(arrival)
+    }
+
+    /// Returns the time that a request may wait for its answer to come within the aim of its route.
+    fn time_limit(&self, arrival: Arrival<'_>) -> Duration {
         let route = arrival.known.routes.get(arrival.seg.flow.route());
         let aim = route.and_then(|route| route.latency_aim);
-        wait > aim.map_or(work * ROUNDS, |aim| aim * AIM_SHARE / 100)
+        aim.map_or(self.flows.work() * ROUNDS, |aim| aim * AIM_SHARE / 100)
+    }
+
+    fn work_of(&self, requests: u32) -> Duration {
+        self.flows.work() * requests / u32::from(self.slots)
+    }
+
+    /// Returns the time that the target needs for what it has and one request more.
+    #[must_use]
+    pub fn work_ahead(&self, now: Timestamp) -> Duration {
+        self.work_of(self.load(now).requests + 1)
+    }
+
+    /// Returns whether a slot of the target has nothing to do.
+    #[must_use]
+    pub fn has_idle_slot(&self, now: Timestamp) -> bool {
+        self.load(now).requests < u32::from(self.slots)
+    }
+
+    /// Refuses an opening packet that has waited here.
+    #[must_use]
+    pub fn refuse_waiting(&self, env: &Envelope) -> Verdict {
+        let passed: &[ProcessId] = match &env.errand {
+            Errand::Place { passed } => passed,
+            _ => &[],
+        };
+        self.refuse(RefuseReason::Crowded, env, passed)
     }
 
     fn refuse(&self, reason: RefuseReason, env: &Envelope, passed: &[ProcessId]) -> Verdict {
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`flow_placement`] | which agent a balancer gives a new packet flow to |
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
+//! | [`open_queue`] | which opening packet comes next at a target with too much to do |
 //! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
@@ -36,6 +37,7 @@
 pub mod membership;
 pub mod names;
 pub mod numbers;
+pub mod open_queue;
 pub mod owner_cache;
 pub mod pause_watch;
 pub mod pending_searches;
@@ -66,6 +68,7 @@
 pub use membership::Membership;
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
 pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
+pub use open_queue::OpenQueue;
 pub use owner_cache::{Owner, OwnerCache};
 pub use pause_watch::PauseWatch;
 pub use pending_searches::PendingSearches;
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -8,10 +8,11 @@
 use compio::net::UdpSocket;
 use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
 use dillmill_core::flow_placement::REPORT_EVERY;
+use dillmill_core::open_queue::{self, WaitingOpen};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, PauseWatch, Role, RouteTable,
-    Segment, SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
+    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, OpenQueue, PauseWatch, Role,
+    RouteTable, Segment, SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::endpoint::Accepted;
@@ -88,6 +89,8 @@
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
     silent: bool,
+    /// Opening packets that wait for the target.
+    opens: OpenQueue,
     /// The others have been told that no flow is here.
     empty: bool,
     pauses: PauseWatch,
@@ -128,6 +131,7 @@
             origins: HashMap::new(),
             run: None,
             silent: false,
+            opens: OpenQueue::default(),
             empty: false,
             pauses: PauseWatch::new(TICK * 2),
             stopping: None,
@@ -166,7 +170,10 @@
                 Event::Call(call) => self.call(call, now).await,
                 Event::Stop(request) => self.stop(request, now),
                 Event::Presence(presence) => self.take_presence(presence),
-                Event::Tick => self.tick(now),
+                Event::Tick => {
+                    self.serve_waiting(now).await;
+                    self.tick(now);
+                }
             }
         }
     }
@@ -227,6 +234,7 @@
         }
         self.counters.answered.inc();
         self.send_to_caller(&seg.flow, buf).await;
+        self.serve_waiting(now).await;
     }
 
     async fn carry_out(
@@ -238,6 +246,7 @@
     ) {
         match verdict {
             Verdict::Deliver { mark, tell } => {
+                self.no_longer_waits(seg);
                 self.log_delivery(seg, mark, now);
                 self.deliver(packet, mark).await;
                 if let Some(balancer) = tell {
@@ -251,6 +260,7 @@
                 Box::pin(self.carry_out(*onward, seg, packet, now)).await;
             }
             Verdict::Pass { to, envelope, reason } => {
+                self.no_longer_waits(seg);
                 if matches!(envelope.errand, Errand::Place { .. }) {
                     self.counters.passed_on.inc();
                 } else {
@@ -261,6 +271,7 @@
                 });
                 self.pass(&envelope, packet, to).await;
             }
+            Verdict::Wait { limit, envelope } => self.wait(seg, packet, envelope, limit, now),
             Verdict::Missing { origin } => {
                 self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
                 // Only a caller that waits for something needs to know.
@@ -269,19 +280,87 @@
                     self.handle.send(origin, Message::Flow(message));
                 }
             }
-            Verdict::Refuse { reason, origin, placed } => {
-                self.counters.refused.inc();
-                let standing = self.gate.standing();
-                self.log.flow(now, &seg.flow, "refused", || {
-                    format!("{reason:?}, target {standing:?}, placed at {placed}")
-                });
-                let message = FlowMessage::Refused { flow: seg.flow, placed };
-                self.handle.send(origin, Message::Flow(message));
-            }
+            refused @ Verdict::Refuse { .. } => self.refuse(&seg.flow, &refused, now),
             Verdict::Drop => self.counters.dropped.inc(),
         }
     }
 
+    fn refuse(&mut self, flow: &FlowTuple, verdict: &Verdict, now: Timestamp) {
+        let Verdict::Refuse { reason, origin, placed } = *verdict else { return };
+        self.counters.refused.inc();
+        let standing = self.gate.standing();
+        self.log.flow(now, flow, "refused", || {
+            format!("{reason:?}, target {standing:?}, placed at {placed}")
+        });
+        self.handle.send(origin, Message::Flow(FlowMessage::Refused { flow: *flow, placed }));
+    }
+
+    /// Lets an opening packet wait for the target.
+    fn wait(
+        &mut self,
+        seg: &Segment,
+        packet: Vec<u8>,
+        envelope: Envelope,
+        limit: Duration,
+        now: Timestamp,
+    ) {
+        let SegmentKind::Open { copies } = seg.kind else { return };
+        let (waiting, load) = (self.opens.len(), self.gate.load(now));
+        self.log.flow(now, &seg.flow, "waits", || {
+            format!("{} requests at the target, {waiting} wait, copies {copies}", load.requests)
+        });
+        let since = open_queue::waiting_since(copies, now);
+        let open = WaitingOpen { flow: seg.flow, packet, envelope, limit, since };
+        if let Some(refused) = self.opens.push(open) {
+            self.give_up(&refused, now);
+        }
+    }
+
+    fn no_longer_waits(&mut self, seg: &Segment) {
+        if matches!(seg.kind, SegmentKind::Open { .. }) && !self.opens.is_empty() {
+            self.opens.remove(&seg.flow);
+        }
+    }
+
+    /// Refuses an opening packet that has waited: it has not reached the target.
+    fn give_up(&mut self, open: &WaitingOpen, now: Timestamp) {
+        let verdict = self.gate.refuse_waiting(&open.envelope);
+        self.refuse(&open.flow, &verdict, now);
+    }
+
+    /// Takes on what waits and has its turn, or passes all of it on when the target takes nothing new.
+    async fn serve_waiting(&mut self, now: Timestamp) {
+        if self.opens.is_empty() {
+            return;
+        }
+        for open in self.opens.take_expired(now) {
+            self.give_up(&open, now);
+        }
+        if !self.gate.takes_new(now) {
+            for open in self.opens.take_all() {
+                self.place_again(open, now).await;
+            }
+            return;
+        }
+        loop {
+            let (ahead, idle) = (self.gate.work_ahead(now), self.gate.has_idle_slot(now));
+            let Some(open) = self.opens.take(ahead, idle, now) else { return };
+            let waiting = self.opens.len();
+            self.place_again(open, now).await;
+            if self.opens.len() > waiting {
+                return;
+            }
+        }
+    }
+
+    /// Decides anew on an opening packet that has waited, by what is known now.
+    async fn place_again(&mut self, open: WaitingOpen, now: Timestamp) {
+        let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { return };
+        let known = Known { agents: &self.agents, routes: &self.routes, settled: self.settled };
+        let verdict = self.gate.arrived(&seg, &open.envelope, known, now);
+        Box::pin(self.carry_out(verdict, &seg, open.packet, now)).await;
+    }
+
     async fn deliver(&mut self, mut packet: Vec<u8>, mark: u32) {
         packet::set_mark(&mut packet, mark);
         self.counters.delivered.inc();
