feat(flow): requests that are late already leave the queue to others

Cause: after a loss of power most opening packets come from callers whose flows were just reset since nobody holds them, or are copies of lost ones: their requests can't be answered in time any more, and took the place of those that could.

Change: a balancer that tells a caller that its flow is over marks the next opening packet of that caller within 50 ms as late (LateCallers); the number of copies tells an opening packet's age. A late one is taken when a slot is idle, and waits otherwise.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -11,6 +11,7 @@
 use crate::envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::generations::Generations;
+use crate::open_queue;
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{Fit, TargetFlows, TargetLoad};
@@ -416,8 +417,8 @@
     ) -> Verdict {
         let arrival = Arrival { seg, env, known, now };
         match (&env.errand, seg.kind) {
-            (Errand::Place { passed }, SegmentKind::Open { copies }) => {
-                self.place(arrival, copies, passed)
+            (Errand::Place { passed, late }, SegmentKind::Open { copies }) => {
+                self.place(arrival, copies, passed, *late)
             }
             (Errand::Place { .. }, _) | (_, SegmentKind::Open { .. } | SegmentKind::Accept) => {
                 Verdict::Drop
@@ -427,7 +428,13 @@
     }
 
     /// Decides on a packet that opens a flow.
-    fn place(&mut self, arrival: Arrival<'_>, copies: u32, passed: &[ProcessId]) -> Verdict {
+    fn place(
+        &mut self,
+        arrival: Arrival<'_>,
+        copies: u32,
+        passed: &[ProcessId],
+        late: bool,
+    ) -> Verdict {
         let Arrival { seg, env, known, now } = arrival;
         let Some(service) = service_now(seg, env, known.routes) else {
             return self.refuse(RefuseReason::NoRoute, env, passed);
@@ -442,14 +449,16 @@
         }
         let requests = self.load(now).requests;
         if requests >= u32::from(self.slots) {
-            let late = self.is_late(requests, arrival);
+            let limit = if late { Duration::ZERO } else { self.time_limit(arrival) };
+            let waited = now.since(open_queue::waiting_since(copies, now));
+            let late = waited + self.work_of(requests + 1) > limit;
             let hops = passed.len() < PLACE_HOPS;
             // Bytes between data centres cost, so a wait that the aim allows stays in this one.
             if hops && let Some(verdict) = self.pass_on(arrival, service, passed, reach_of(late)) {
                 return verdict;
             }
             if late {
-                return Verdict::Wait { limit: self.time_limit(arrival), envelope: env.clone() };
+                return Verdict::Wait { limit, envelope: env.clone() };
             }
         }
         self.not_held.remove(&seg.flow);
@@ -459,11 +468,6 @@
         Verdict::Deliver { mark: self.begin_trial(env.clone()), tell }
     }
 
-    /// Returns whether a request behind `requests` others would miss the aim of its route.
-    fn is_late(&self, requests: u32, arrival: Arrival<'_>) -> bool {
-        self.work_of(requests + 1) > self.time_limit(arrival)
-    }
-
     /// Returns the time that a request may wait for its answer to come within the aim of its route.
     fn time_limit(&self, arrival: Arrival<'_>) -> Duration {
         let route = arrival.known.routes.get(arrival.seg.flow.route());
@@ -491,7 +495,7 @@
     #[must_use]
     pub fn refuse_waiting(&self, env: &Envelope) -> Verdict {
         let passed: &[ProcessId] = match &env.errand {
-            Errand::Place { passed } => passed,
+            Errand::Place { passed, .. } => passed,
             _ => &[],
         };
         self.refuse(RefuseReason::Crowded, env, passed)
@@ -528,7 +532,8 @@
         self.directory.register(record, now);
         let mut passed = passed.to_vec();
         passed.push(self.me);
-        let envelope = Envelope { service, errand: Errand::Place { passed }, ..env.clone() };
+        let late = matches!(env.errand, Errand::Place { late: true, .. });
+        let envelope = Envelope { service, errand: Errand::Place { passed, late }, ..env.clone() };
         Some(Verdict::Pass { to: next.data, envelope, reason })
     }
 
@@ -639,7 +644,7 @@
     fn after_trial(&mut self, arrival: Arrival<'_>) -> Verdict {
         let Arrival { seg, env, .. } = arrival;
         match (&env.errand, seg.kind) {
-            (Errand::Place { passed }, SegmentKind::Open { .. }) => {
+            (Errand::Place { passed, .. }, SegmentKind::Open { .. }) => {
                 let reason = PassReason::Returned;
                 let refused = self.refuse(RefuseReason::NoTarget, env, passed);
                 if passed.len() > PLACE_HOPS {
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -88,7 +88,7 @@
 }
 
 fn place() -> Envelope {
-    envelope(Errand::Place { passed: Vec::new() })
+    envelope(Errand::Place { passed: Vec::new(), late: false })
 }
 
 /// The gate of agent 1 of `orders`, whose target has started after it.
@@ -142,7 +142,7 @@
         panic!("not passed on")
     };
     assert_eq!((to == data(2) || to == data(3), reason), (true, PassReason::Leaving));
-    assert_eq!(env.errand, Errand::Place { passed: vec![ProcessId(1)] });
+    assert_eq!(env.errand, Errand::Place { passed: vec![ProcessId(1)], late: false });
     // Its open flows stay with it.
     let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
     assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: None });
@@ -170,7 +170,7 @@
     }
     let verdict = arrived(&mut gate, &open(6), &place(), known);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Full, .. }), "{verdict:?}");
-    let passed = envelope(Errand::Place { passed: vec![ProcessId(2), ProcessId(3)] });
+    let passed = envelope(Errand::Place { passed: vec![ProcessId(2), ProcessId(3)], late: false });
     let verdict = arrived(&mut gate, &open(6), &passed, known);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
     // Behind three rounds of work the answer would come too late.
@@ -738,3 +738,23 @@
     let verdict = arrived(&mut gate, &request(2), &envelope(Errand::Deliver), unsettled);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
 }
+
+/// A request that is late already waits while every slot is busy, however short the queue.
+#[rstest]
+#[case::known_to_be_late(true, 0)]
+#[case::second_copy(false, 2)]
+fn late_request_leaves_the_queue_to_others(#[case] late: bool, #[case] copies: u32) {
+    let agents = agents(&[member(1, "orders", MemberStatus::Serving)]);
+    let routes = routes(1, "orders");
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    let env = envelope(Errand::Place { passed: Vec::new(), late });
+    let seg = |port| segment(port, SegmentKind::Open { copies });
+    for port in 1..=5 {
+        let verdict = arrived(&mut gate, &seg(port), &env, known);
+        assert!(matches!(verdict, Verdict::Deliver { .. }), "an idle slot: {verdict:?}");
+    }
+    let verdict = arrived(&mut gate, &seg(6), &env, known);
+    assert!(matches!(verdict, Verdict::Wait { .. }), "{verdict:?}");
+    assert!(matches!(arrived(&mut gate, &open(7), &place(), known), Verdict::Deliver { .. }));
+}
--- a/crates/dillmill-core/tests/open_queues.rs
+++ b/crates/dillmill-core/tests/open_queues.rs
@@ -24,7 +24,7 @@
         service: ServiceTag(1),
         revision: Revision(1),
         origin: "10.0.0.9:7000".parse().unwrap(),
-        errand: Errand::Place { passed: Vec::new() },
+        errand: Errand::Place { passed: Vec::new(), late: false },
     };
     WaitingOpen { flow: flow(port), packet: vec![0], envelope, limit: LIMIT, since: at(ms) }
 }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -10,9 +10,9 @@
 use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, Owner, OwnerCache,
-    PauseWatch, PendingSearches, RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag,
-    Timestamp, ZoneName,
+    AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, LateCallers, Owner,
+    OwnerCache, PauseWatch, PendingSearches, RouteTable, Search, SearchScope, Segment, SegmentKind,
+    ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -69,6 +69,7 @@
     pauses: PauseWatch,
     started: Timestamp,
     searches: PendingSearches,
+    late: LateCallers,
     again: flume::Sender<FlowTuple>,
     repeated: flume::Receiver<FlowTuple>,
 }
@@ -104,6 +105,7 @@
             pauses: PauseWatch::new(TICK * 2),
             started: now,
             searches: PendingSearches::default(),
+            late: LateCallers::default(),
             again,
             repeated,
         }
@@ -254,7 +256,8 @@
             format!("service {service}, revision {revision}, copies {copies}, near {near}")
         });
         self.owners.set(seg.flow, owner, now);
-        self.send(service, Errand::Place { passed: Vec::new() }, buf, owner.data).await;
+        let late = self.late.tries_again(*seg.flow.caller().ip(), now);
+        self.send(service, Errand::Place { passed: Vec::new(), late }, buf, owner.data).await;
     }
 
     /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
@@ -388,6 +391,7 @@
                     return;
                 }
                 self.searches.end(&flow);
+                self.late.told(*flow.caller().ip(), now);
                 self.counters.missing.inc();
                 self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
                 self.reset(&flow, caller_expects).await;
