--- /dev/null
+++ b/crates/dillmill-wire/tests/fuzzed_messages.rs
@@ -0,0 +1,56 @@
+//! Bytes of others never bring a decoder of our own messages down, and an envelope is read as it was written.
+
+use dillmill_core::{
+    Envelope, Errand, ProcessId, Revision, Search, SearchPlace, SearchScope, ServiceTag,
+};
+use dillmill_wire::{Frame, Message, open_envelope, seal_envelope};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// The same cases in each run of CI.
+fn config() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(7), cases: 2000, ..ProptestConfig::default() }
+}
+
+fn errand() -> impl Strategy<Value = Errand> {
+    let place = prop_oneof![
+        any::<u8>().prop_map(SearchPlace::Directory),
+        any::<u64>().prop_map(SearchPlace::Holder),
+    ];
+    let scope = prop_oneof![Just(SearchScope::All), Just(SearchScope::Directories)];
+    let search = (place, any::<u16>(), any::<bool>(), scope)
+        .prop_map(|(place, steps, sure, scope)| Search { place, steps, sure, scope });
+    let passed = prop::collection::vec(any::<u64>().prop_map(ProcessId), 0..4);
+    prop_oneof![
+        (passed, any::<bool>()).prop_map(|(passed, late)| Errand::Place { passed, late }),
+        Just(Errand::Deliver),
+        search.clone().prop_map(Errand::Search),
+        (search, any::<u8>()).prop_map(|(search, times)| Errand::Directed { search, times }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = open_envelope(&bytes);
+        let _ = Frame::decode(&bytes);
+        let _ = postcard::from_bytes::<Message>(&bytes);
+    }
+
+    #[test]
+    fn envelope_read_as_written(
+        errand in errand(),
+        service in any::<u32>(),
+        revision in any::<u64>(),
+        packet in prop::collection::vec(any::<u8>(), 0..64),
+    ) {
+        let (service, revision) = (ServiceTag(service), Revision(revision));
+        let origin = "10.0.0.9:7000".parse().unwrap();
+        let envelope = Envelope { service, revision, origin, errand };
+        let mut buf = Vec::new();
+        seal_envelope(&envelope, &packet, &mut buf);
+        prop_assert_eq!(open_envelope(&buf), Ok((envelope, packet.as_slice())));
+    }
+}
