refactor(flow): split the gate and the agent's task; keep a search's first directory

Behaviour stays, but for three things found on the way:

* A search that began at an agent which had been taken for the owner, and was unsure or directed, left out the flow's first directory (search_from_a_supposed_owner_begins_with_the_first_directory failed before).
* A target that refuses connections though it has long been there (its heartbeats say so) no longer counts as one that started after its agent.
* The stand-in's target did not listen on TCP, as targets do for health checks: restarted agents took it for absent, and flows_survive_agents and flow_waits_for_its_agent failed.
It listens now; no check changed.

Counts what waits in dillmill_flow_waiting.

--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -32,8 +32,8 @@
 /// How far the search for the owner of a flow has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Search {
-    /// The agent that has the packet, or had it last, in the order of search.
-    pub place: SearchPlace,
+    /// The agent that has the packet, or had it last, in the order of search; none before the first.
+    pub place: Option<SearchPlace>,
     /// Agents that have had the packet.
     pub steps: u16,
     /// Each of them could tell that its target does not hold the flow.
@@ -42,6 +42,13 @@
     pub scope: SearchScope,
 }
 
+impl Default for Search {
+    /// Returns a search that has not begun.
+    fn default() -> Self {
+        Self { place: None, steps: 0, sure: true, scope: SearchScope::All }
+    }
+}
+
 /// Whom a search visits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SearchScope {
--- /dev/null
+++ b/crates/dillmill-core/src/flow_gate/lookup.rs
@@ -0,0 +1,40 @@
+//! How a packet of an open flow came to an agent.
+
+use crate::envelope::{Errand, Search};
+
+/// What is known of the way of a packet whose flow should be open somewhere.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lookup {
+    /// The search so far; one that has not begun yet has no place.
+    pub search: Search,
+    /// How often the packet was sent where a record said.
+    pub directed: u8,
+    /// The balancer did not know the owner.
+    pub searched: bool,
+    /// The sender takes this agent for the owner.
+    pub claimed: bool,
+}
+
+impl Lookup {
+    /// One of the agents asked can't tell whether its target holds the flow.
+    pub(super) fn unsure(mut self) -> Self {
+        self.search.sure = false;
+        self
+    }
+}
+
+impl From<&Errand> for Lookup {
+    fn from(errand: &Errand) -> Self {
+        let (search, directed) = match *errand {
+            Errand::Place { .. } | Errand::Deliver => (Search::default(), 0),
+            Errand::Search(search) => (search, 0),
+            Errand::Directed { search, times } => (search, times),
+        };
+        Self {
+            search,
+            directed,
+            searched: matches!(errand, Errand::Search(_) | Errand::Directed { .. }),
+            claimed: !matches!(errand, Errand::Search(_)),
+        }
+    }
+}
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -84,6 +84,7 @@
 }
 
 fn search(place: SearchPlace) -> Errand {
+    let place = Some(place);
     Errand::Search(Search { place, steps: 1, sure: true, scope: SearchScope::All })
 }
 
@@ -712,12 +713,13 @@
     let (agents, routes) = (three(), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
-    let place = SearchPlace::Directory(1);
+    let place = Some(SearchPlace::Directory(1));
     let scope = SearchScope::Directories;
     let again = Errand::Search(Search { place, steps: 2, sure: true, scope });
     let verdict = arrived(&mut gate, &request(1), &envelope(again), known);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
-    let first = arrived(&mut gate, &request(1), &envelope(search(place)), known);
+    let first =
+        arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Directory(1))), known);
     assert!(matches!(first, Verdict::Pass { reason: PassReason::Search, .. }));
 }
 
@@ -758,3 +760,35 @@
     assert!(matches!(verdict, Verdict::Wait { .. }), "{verdict:?}");
     assert!(matches!(arrived(&mut gate, &open(7), &place(), known), Verdict::Deliver { .. }));
 }
+
+/// A search that begins at an agent which was taken for the owner leaves out no directory.
+#[test]
+fn search_from_a_supposed_owner_begins_with_the_first_directory() {
+    let members: Vec<Member> =
+        (1..=9).map(|n| member(n, "orders", MemberStatus::Serving)).collect();
+    let table = agents(&members);
+    let routes = routes(1, "orders");
+    for settled in [true, false] {
+        let known = Known { agents: &table, routes: &routes, settled };
+        let mut gate = gate();
+        let port = (1..100)
+            .find(|port| table.directory(&flow(*port)).iter().all(|a| a.process != ProcessId(1)))
+            .unwrap();
+        let verdict = arrived(&mut gate, &request(port), &envelope(Errand::Deliver), known);
+        let Verdict::Pass { to, .. } = verdict else { panic!("{verdict:?}") };
+        assert_eq!(to, table.directory(&flow(port))[0].data, "settled: {settled}");
+    }
+}
+
+/// A target that refuses connections but has long been there holds flows all the same.
+#[test]
+fn older_target_is_asked_though_it_refused() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
+    gate.set_presence(TargetPresence::Absent);
+    gate.target_is_older();
+    gate.set_standing(TargetStanding::Ready, 5);
+    let env = envelope(search(SearchPlace::Holder(0)));
+    assert!(matches!(arrived(&mut gate, &request(1), &env, known), Verdict::Deliver { .. }));
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -7,17 +7,14 @@
 
 use compio::net::UdpSocket;
 use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
-use dillmill_core::flow_placement::REPORT_EVERY;
-use dillmill_core::open_queue::{self, WaitingOpen};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, EventKind, FlowGate, FlowTuple, OpenQueue, PauseWatch, Role,
-    RouteTable, Segment, SegmentKind, ServiceName, ServiceTag, Slots, Timestamp, Weight, ZoneName,
+    AgentTable, Envelope, Errand, FlowGate, FlowTuple, OpenQueue, PauseWatch, RouteTable, Segment,
+    SegmentKind, ServiceName, ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
-use dillmill_platform::endpoint::Accepted;
 use dillmill_platform::packet::{self, Sender};
-use dillmill_platform::{EndpointCall, Heartbeat, ProcessSettings, TargetCall, TargetState};
+use dillmill_platform::{EndpointCall, ProcessSettings};
 use dillmill_wire::{FlowMessage, Message, open_envelope, seal_envelope};
 use futures_util::stream::{self, StreamExt};
 
@@ -27,12 +24,12 @@
 use crate::registrations::Registrations;
 use crate::sockets::{self, datagrams, ticks};
 
+mod reports;
+mod target_word;
+mod waiting;
+
 /// Time between two looks at what is due to be sent. Each wake-up costs; what can't wait is sent at once.
 const TICK: Duration = Duration::from_millis(100);
-/// A balancer that has sent no new flow for this long gets no more reports.
-const REPORT_WHILE: Duration = Duration::from_secs(2);
-/// Reports without a new flow since the last one come this much further apart.
-const REPORT_IDLE: Duration = Duration::from_millis(200);
 /// A stop waits at least this long, so that all balancers have heard of it.
 const STOP_MIN: Duration = Duration::from_millis(300);
 
@@ -295,72 +292,6 @@
         self.handle.send(origin, Message::Flow(FlowMessage::Refused { flow: *flow, placed }));
     }
 
-    /// Lets an opening packet wait for the target.
-    fn wait(
-        &mut self,
-        seg: &Segment,
-        packet: Vec<u8>,
-        envelope: Envelope,
-        limit: Duration,
-        now: Timestamp,
-    ) {
-        let SegmentKind::Open { copies } = seg.kind else { return };
-        let (waiting, load) = (self.opens.len(), self.gate.load(now));
-        self.log.flow(now, &seg.flow, "waits", || {
-            format!("{} requests at the target, {waiting} wait, copies {copies}", load.requests)
-        });
-        let since = open_queue::waiting_since(copies, now);
-        let open = WaitingOpen { flow: seg.flow, packet, envelope, limit, since };
-        if let Some(refused) = self.opens.push(open) {
-            self.give_up(&refused, now);
-        }
-    }
-
-    fn no_longer_waits(&mut self, seg: &Segment) {
-        if matches!(seg.kind, SegmentKind::Open { .. }) && !self.opens.is_empty() {
-            self.opens.remove(&seg.flow);
-        }
-    }
-
-    /// Refuses an opening packet that has waited: it has not reached the target.
-    fn give_up(&mut self, open: &WaitingOpen, now: Timestamp) {
-        let verdict = self.gate.refuse_waiting(&open.envelope);
-        self.refuse(&open.flow, &verdict, now);
-    }
-
-    /// Takes on what waits and has its turn, or passes all of it on when the target takes nothing new.
-    async fn serve_waiting(&mut self, now: Timestamp) {
-        if self.opens.is_empty() {
-            return;
-        }
-        for open in self.opens.take_expired(now) {
-            self.give_up(&open, now);
-        }
-        if !self.gate.takes_new(now) {
-            for open in self.opens.take_all() {
-                self.place_again(open, now).await;
-            }
-            return;
-        }
-        loop {
-            let (ahead, idle) = (self.gate.work_ahead(now), self.gate.has_idle_slot(now));
-            let Some(open) = self.opens.take(ahead, idle, now) else { return };
-            let waiting = self.opens.len();
-            self.place_again(open, now).await;
-            if self.opens.len() > waiting {
-                return;
-            }
-        }
-    }
-
-    /// Decides anew on an opening packet that has waited, by what is known now.
-    async fn place_again(&mut self, open: WaitingOpen, now: Timestamp) {
-        let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { return };
-        let known = Known { agents: &self.agents, routes: &self.routes, settled: self.settled };
-        let verdict = self.gate.arrived(&seg, &open.envelope, known, now);
-        Box::pin(self.carry_out(verdict, &seg, open.packet, now)).await;
-    }
-
     async fn deliver(&mut self, mut packet: Vec<u8>, mark: u32) {
         packet::set_mark(&mut packet, mark);
         self.counters.delivered.inc();
@@ -416,76 +347,14 @@
         }
     }
 
-    fn report(&self, now: Timestamp) -> LoadReport {
-        let load = self.gate.load(now);
-        let slots = if self.gate.takes_new(now) { self.gate.slots() } else { 0 };
-        let in_use = load.requests.min(u32::from(self.gate.slots()));
-        let count = |n: u32| u16::try_from(n).unwrap_or(u16::MAX);
-        LoadReport {
-            process: self.handle.process,
-            slots: Slots(slots),
-            in_use: count(in_use),
-            queued: count(load.requests - in_use),
-            flows: load.flows,
-        }
-    }
-
-    fn note_origin(&mut self, balancer: SocketAddrV4, now: Timestamp) {
-        let idle = LoadReport::idle(self.handle.process, 0);
-        let origin = self.origins.entry(balancer).or_insert(Origin {
-            last_flow: now,
-            last_report: Timestamp::default(),
-            reported: idle,
-            due: true,
-        });
-        origin.last_flow = now;
-        origin.due = true;
-        if now.since(origin.last_report) >= REPORT_EVERY {
-            self.report_to(balancer, now);
-        }
-    }
-
-    fn report_to(&mut self, balancer: SocketAddrV4, now: Timestamp) {
-        let report = self.report(now);
-        if let Some(origin) = self.origins.get_mut(&balancer) {
-            origin.last_report = now;
-            origin.reported = report;
-            origin.due = false;
-        }
-        self.handle.send(balancer, Message::Load(report));
-    }
-
     fn tick(&mut self, now: Timestamp) {
         self.registrations.flush(&self.agents, &self.handle);
-        let report = self.report(now);
-        self.counters.requests.set(i64::from(report.in_use) + i64::from(report.queued));
-        self.handle.metrics.flows.set(i64::from(report.flows));
-        self.origins.retain(|_, origin| now.since(origin.last_flow) < REPORT_WHILE);
-        let due: Vec<SocketAddrV4> = self
-            .origins
-            .iter()
-            .filter(|(_, o)| {
-                let age = now.since(o.last_report);
-                o.due || (o.reported != report && age >= REPORT_IDLE)
-            })
-            .map(|(balancer, _)| *balancer)
-            .collect();
-        for balancer in due {
-            self.report_to(balancer, now);
-        }
+        self.send_reports(now);
         self.watch_silence(now);
         self.watch_emptiness(now);
         self.finish_stop(now);
     }
 
-    fn take_presence(&mut self, presence: TargetPresence) {
-        let standing = self.gate.standing();
-        self.gate.set_presence(presence);
-        let what = format!("target at {} {presence:?}", self.target);
-        let cause = format!("attempt to connect, standing {standing:?}");
-        self.handle.journal.record(EventKind::Member, what, cause);
-    }
-
     fn stop(&mut self, request: StopRequest, now: Timestamp) {
         self.gate.stop();
         self.handle.leave();
@@ -500,123 +369,4 @@
             self.stopping = None;
         }
     }
-
-    async fn call(&mut self, call: EndpointCall, now: Timestamp) {
-        match call {
-            EndpointCall::Ready(tx) => {
-                let ready = self.gate.takes_new(now) && !self.routes.is_empty();
-                let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
-            }
-            EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
-                let lost = self.heartbeat(&id, &heartbeat);
-                let _ = tx.send(Accepted::Yes);
-                self.reset_lost(lost, now).await;
-            }
-            EndpointCall::Target(TargetCall::Leave { id }, tx) => {
-                if self.run.as_ref().is_none_or(|run| run.id == id) {
-                    self.set_standing(TargetStanding::Gone, self.gate.slots(), &id, "its own word");
-                }
-                let _ = tx.send(Accepted::Yes);
-            }
-            EndpointCall::Malformed { what } => {
-                self.handle.journal.record(EventKind::Member, "heartbeat refused", what);
-            }
-        }
-    }
-
-    /// Tells the callers whose flows have ended with a run of the target.
-    async fn reset_lost(&mut self, lost: Vec<(FlowTuple, u32)>, now: Timestamp) {
-        for (flow, caller_expects) in lost {
-            self.log.flow(now, &flow, "reset", || "its target has ended".to_owned());
-            self.send_to_caller(&flow, packet::reset(&flow, caller_expects).to_vec()).await;
-        }
-    }
-
-    /// Takes a heartbeat in; returns the flows that ended with an earlier run of the target.
-    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
-        let same = self.run.as_ref().filter(|run| run.id == id);
-        let lost = match same.map(|run| run.last_number) {
-            // A late one must not bring an earlier state back.
-            Some(last) if heartbeat.number <= last => return Vec::new(),
-            Some(_) => Vec::new(),
-            None => self.new_run(id, heartbeat),
-        };
-        self.gate.heard();
-        self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
-        self.gate.set_cold(heartbeat.cold_ms > 0);
-        let standing = match heartbeat.state {
-            TargetState::Ready => TargetStanding::Ready,
-            TargetState::Draining => TargetStanding::Leaving,
-        };
-        let cause = format!("heartbeat {}", heartbeat.number);
-        self.set_standing(standing, heartbeat.slots, id, &cause);
-        lost
-    }
-
-    /// Takes in the first heartbeat of a run of the target.
-    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
-        let first = self.run.is_none();
-        let what = format!("target {id} of {}", heartbeat.service);
-        let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
-        self.handle.journal.record(EventKind::Member, what, cause);
-        let other_service = heartbeat.service != self.service;
-        if other_service {
-            let what = format!("service {} -> {}", self.service, heartbeat.service);
-            self.handle.journal.record(EventKind::Member, what, format!("heartbeat of {id}"));
-            self.service = heartbeat.service.clone();
-            let service = self.service.clone();
-            self.handle.update_me(move |me| me.role = Role::Agent(service));
-        }
-        // A target whose first heartbeat came here has started after this agent did.
-        if !first || other_service || heartbeat.number <= 1 {
-            return self.gate.new_target(ServiceTag::from(&self.service));
-        }
-        Vec::new()
-    }
-
-    /// Says so when the target falls silent, and when it speaks again.
-    fn watch_silence(&mut self, now: Timestamp) {
-        let silent = self.gate.target_silent(now);
-        if silent == self.silent {
-            return;
-        }
-        self.silent = silent;
-        let what = if silent { "target silent" } else { "target answers again" };
-        let standing = self.gate.standing();
-        self.handle.journal.record(EventKind::Member, what, format!("standing {standing:?}"));
-        if silent {
-            self.handle.leave();
-        } else if self.gate.takes_new(now) && standing == TargetStanding::Ready {
-            self.handle.serve();
-        }
-    }
-
-    /// Says so when there is no target, so that nobody searches for flows here.
-    fn watch_emptiness(&mut self, now: Timestamp) {
-        if !self.empty && self.gate.is_empty(now) {
-            self.empty = true;
-            self.handle.update_me(|me| me.weight = Weight(0));
-            self.handle.empty();
-        }
-    }
-
-    fn set_standing(&mut self, standing: TargetStanding, slots: u16, id: &str, cause: &str) {
-        let before = self.gate.standing();
-        let slots_before = self.gate.slots();
-        self.gate.set_standing(standing, slots);
-        let was_empty = standing != TargetStanding::Gone && std::mem::take(&mut self.empty);
-        if slots != slots_before || before == TargetStanding::Unknown || was_empty {
-            self.handle.update_me(move |me| me.weight = Weight(slots));
-        }
-        if before == standing {
-            return;
-        }
-        let what = format!("target {id} {before:?} -> {standing:?}");
-        self.handle.journal.record(EventKind::Member, what, cause.to_owned());
-        match standing {
-            TargetStanding::Ready if self.stopping.is_none() => self.handle.serve(),
-            TargetStanding::Leaving | TargetStanding::Gone => self.handle.leave(),
-            TargetStanding::Ready | TargetStanding::Unknown => {}
-        }
-    }
 }
--- /dev/null
+++ b/crates/dillmill-flow/src/agent_task/target_word.rs
@@ -0,0 +1,144 @@
+//! What an agent hears of its target, and what it tells the others of it.
+
+use dillmill_core::flow_gate::{TargetPresence, TargetStanding};
+use dillmill_core::{EventKind, FlowTuple, Role, ServiceTag, Timestamp, Weight};
+use dillmill_platform::endpoint::Accepted;
+use dillmill_platform::{EndpointCall, Heartbeat, TargetCall, TargetState, packet};
+
+use super::{AgentTask, TargetRun};
+
+/// Heartbeats that a target which starts after its agent may have sent before one comes through: it tries some
+/// times more when the first ones fail.
+const FIRST_HEARTBEATS: u64 = 5;
+
+impl AgentTask {
+    pub(super) fn take_presence(&mut self, presence: TargetPresence) {
+        let standing = self.gate.standing();
+        self.gate.set_presence(presence);
+        let what = format!("target at {} {presence:?}", self.target);
+        let cause = format!("attempt to connect, standing {standing:?}");
+        self.handle.journal.record(EventKind::Member, what, cause);
+    }
+
+    pub(super) async fn call(&mut self, call: EndpointCall, now: Timestamp) {
+        match call {
+            EndpointCall::Ready(tx) => {
+                let ready = self.gate.takes_new(now) && !self.routes.is_empty();
+                let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
+            }
+            EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
+                let lost = self.heartbeat(&id, &heartbeat);
+                let _ = tx.send(Accepted::Yes);
+                self.reset_lost(lost, now).await;
+            }
+            EndpointCall::Target(TargetCall::Leave { id }, tx) => {
+                if self.run.as_ref().is_none_or(|run| run.id == id) {
+                    self.set_standing(TargetStanding::Gone, self.gate.slots(), &id, "its own word");
+                }
+                let _ = tx.send(Accepted::Yes);
+            }
+            EndpointCall::Malformed { what } => {
+                self.handle.journal.record(EventKind::Member, "heartbeat refused", what);
+            }
+        }
+    }
+
+    /// Tells the callers whose flows have ended with a run of the target.
+    async fn reset_lost(&mut self, lost: Vec<(FlowTuple, u32)>, now: Timestamp) {
+        for (flow, caller_expects) in lost {
+            self.log.flow(now, &flow, "reset", || "its target has ended".to_owned());
+            self.send_to_caller(&flow, packet::reset(&flow, caller_expects).to_vec()).await;
+        }
+    }
+
+    /// Takes a heartbeat in; returns the flows that ended with an earlier run of the target.
+    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
+        let same = self.run.as_ref().filter(|run| run.id == id);
+        let lost = match same.map(|run| run.last_number) {
+            // A late one must not bring an earlier state back.
+            Some(last) if heartbeat.number <= last => return Vec::new(),
+            Some(_) => Vec::new(),
+            None => self.new_run(id, heartbeat),
+        };
+        self.gate.heard();
+        self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
+        self.gate.set_cold(heartbeat.cold_ms > 0);
+        let standing = match heartbeat.state {
+            TargetState::Ready => TargetStanding::Ready,
+            TargetState::Draining => TargetStanding::Leaving,
+        };
+        let cause = format!("heartbeat {}", heartbeat.number);
+        self.set_standing(standing, heartbeat.slots, id, &cause);
+        lost
+    }
+
+    /// Takes in the first heartbeat of a run of the target.
+    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
+        let first = self.run.is_none();
+        let what = format!("target {id} of {}", heartbeat.service);
+        let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
+        self.handle.journal.record(EventKind::Member, what, cause);
+        let other_service = heartbeat.service != self.service;
+        if other_service {
+            let what = format!("service {} -> {}", self.service, heartbeat.service);
+            self.handle.journal.record(EventKind::Member, what, format!("heartbeat of {id}"));
+            self.service = heartbeat.service.clone();
+            let service = self.service.clone();
+            self.handle.update_me(move |me| me.role = Role::Agent(service));
+        }
+        // A target whose first heartbeat came here has started after this agent did.
+        if !first || other_service || heartbeat.number <= 1 {
+            return self.gate.new_target(ServiceTag::from(&self.service));
+        }
+        if heartbeat.number > FIRST_HEARTBEATS {
+            self.gate.target_is_older();
+        }
+        Vec::new()
+    }
+
+    /// Says so when the target falls silent, and when it speaks again.
+    pub(super) fn watch_silence(&mut self, now: Timestamp) {
+        let silent = self.gate.target_silent(now);
+        if silent == self.silent {
+            return;
+        }
+        self.silent = silent;
+        let what = if silent { "target silent" } else { "target answers again" };
+        let standing = self.gate.standing();
+        self.handle.journal.record(EventKind::Member, what, format!("standing {standing:?}"));
+        if silent {
+            self.handle.leave();
+        } else if self.gate.takes_new(now) && standing == TargetStanding::Ready {
+            self.handle.serve();
+        }
+    }
+
+    /// Says so when there is no target, so that nobody searches for flows here.
+    pub(super) fn watch_emptiness(&mut self, now: Timestamp) {
+        if !self.empty && self.gate.is_empty(now) {
+            self.empty = true;
+            self.handle.update_me(|me| me.weight = Weight(0));
+            self.handle.empty();
+        }
+    }
+
+    fn set_standing(&mut self, standing: TargetStanding, slots: u16, id: &str, cause: &str) {
+        let before = self.gate.standing();
+        let slots_before = self.gate.slots();
+        self.gate.set_standing(standing, slots);
+        let was_empty = standing != TargetStanding::Gone && std::mem::take(&mut self.empty);
+        if slots != slots_before || before == TargetStanding::Unknown || was_empty {
+            self.handle.update_me(move |me| me.weight = Weight(slots));
+        }
+        if before == standing {
+            return;
+        }
+        let what = format!("target {id} {before:?} -> {standing:?}");
+        self.handle.journal.record(EventKind::Member, what, cause.to_owned());
+        match standing {
+            TargetStanding::Ready if self.stopping.is_none() => self.handle.serve(),
+            TargetStanding::Leaving | TargetStanding::Gone => self.handle.leave(),
+            TargetStanding::Ready | TargetStanding::Unknown => {}
+        }
+    }
+}
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -322,6 +322,7 @@
         self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
             format!("owner not known or gone, {} agents", self.agents.iter().count())
         });
+        let place = Some(place);
         let errand = Errand::Search(Search { place, steps: 1, sure: true, scope });
         self.send(service, errand, buf, first).await;
     }
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -67,6 +67,8 @@
     pub dropped: IntCounter,
     /// Requests without an answer now.
     pub requests: IntGauge,
+    /// Opening packets that wait for the target now.
+    pub waiting: IntGauge,
     /// From the first bytes of a request to the first bytes of its answer, in seconds.
     pub answer_seconds: Histogram,
 }
@@ -91,6 +93,8 @@
                 .counter("dillmill_flow_returned", "Packets that the target gave back")?,
             dropped: metrics.counter("dillmill_flow_dropped", "Packets dropped")?,
             requests: metrics.gauge("dillmill_flow_requests", "Requests without an answer now")?,
+            waiting: metrics
+                .gauge("dillmill_flow_waiting", "New flows that wait for the target now")?,
             answer_seconds: metrics.histogram(
                 "dillmill_flow_answer_seconds",
                 "First bytes of a request to first bytes of its answer",
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use compio::buf::BufResult;
-use compio::net::UdpSocket;
+use compio::net::{TcpListener, UdpSocket};
 use compio::runtime::JoinHandle;
 use cyper::Client;
 use dillmill_core::{FlowTuple, Segment, SegmentKind, ServiceName};
@@ -36,7 +36,7 @@
 /// A running target; it ends when it is dropped.
 pub struct FlowTarget {
     state: Rc<RefCell<State>>,
-    _tasks: [JoinHandle<()>; 2],
+    _tasks: [JoinHandle<()>; 3],
 }
 
 impl FlowTarget {
@@ -52,7 +52,8 @@
         let outbound = settings.from_target.ok_or_else(missing)?;
         let heartbeats = settings.heartbeats.ok_or_else(missing)?;
         let service = settings.service.clone().ok_or_else(missing)?;
-        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step))?;
+        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
+        let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
         let state = Rc::new(RefCell::new(State {
             id: id.to_owned(),
             service,
@@ -66,6 +67,7 @@
         let url = format!("http://{heartbeats}{TARGET_PATH}/{id}");
         let tasks = [
             compio::runtime::spawn(packets),
+            compio::runtime::spawn(accept(health)),
             compio::runtime::spawn(send_heartbeats(url, state.clone())),
         ];
         Ok(Self { state, _tasks: tasks })
@@ -95,6 +97,14 @@
     }
 }
 
+/// Accepts connections, as a target does for its health checks; nothing is asked on them here.
+async fn accept(health: TcpListener) {
+    loop {
+        // One that fails is as one that was closed at once.
+        let _ = health.accept().await;
+    }
+}
+
 async fn take_packets(socket: UdpSocket, outbound: SocketAddr, state: Rc<RefCell<State>>) {
     loop {
         let BufResult(outcome, buf) = socket.recv_from(Vec::with_capacity(MAX_DATAGRAM)).await;
--- a/crates/dillmill-wire/tests/fuzzed_messages.rs
+++ b/crates/dillmill-wire/tests/fuzzed_messages.rs
@@ -18,7 +18,7 @@
         any::<u64>().prop_map(SearchPlace::Holder),
     ];
     let scope = prop_oneof![Just(SearchScope::All), Just(SearchScope::Directories)];
-    let search = (place, any::<u16>(), any::<bool>(), scope)
+    let search = (prop::option::of(place), any::<u16>(), any::<bool>(), scope)
         .prop_map(|(place, steps, sure, scope)| Search { place, steps, sure, scope });
     let passed = prop::collection::vec(any::<u64>().prop_map(ProcessId), 0..4);
     prop_oneof![
