feat(flow): a target that breaks requests off is set aside

While down, such a target accepts each flow and resets it once the request is there. It answers nothing, so it seemed to have the least to do of all, and drew 10 to 20 new flows each 0.2 s.

Ruled out: flows lost when the target goes (a few each time); health checks, which we don't ask, as they may lie.

Change: three requests broken off in a row, with no answer between, set a target aside for 0.5 s, doubling to 2 s while the first request afterwards fails too (Outcomes). Its agent passes new flows on at once, and says that it leaves while more than half of its siblings serve; if they don't, it goes on trying. Eight answers in a row begin anew.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -223,6 +223,12 @@
         self.flows.silent(now)
     }
 
+    /// Returns whether the target breaks off what it is given.
+    #[must_use]
+    pub fn target_failing(&self, now: Timestamp) -> bool {
+        self.flows.failing(now)
+    }
+
     /// Returns what the target has to do.
     #[must_use]
     pub fn load(&self, now: Timestamp) -> TargetLoad {
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -41,6 +41,12 @@
             let refused = self.refuse(RefuseReason::NoTarget, env, passed);
             return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
         }
+        if self.target_failing(now)
+            && passed.len() < PLACE_HOPS
+            && let Some(verdict) = self.pass_on(arrival, service, passed, PassReason::Failing)
+        {
+            return verdict;
+        }
         let requests = self.load(now).requests;
         if requests >= u32::from(self.slots) {
             let limit = if late { Duration::ZERO } else { self.time_limit(arrival) };
--- a/crates/dillmill-core/src/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow_gate/verdict.rs
@@ -37,6 +37,8 @@
     OtherService,
     /// The target is leaving or gone.
     Leaving,
+    /// The target has broken off several requests in a row.
+    Failing,
     /// The target has no free slot; another one near may have.
     Full,
     /// The target has more to do than it can in time; any other may have less.
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
 //! | [`open_queue`] | which opening packet comes next at a target with too much to do |
+//! | [`outcomes`] | whether a target that breaks requests off is set aside |
 //! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
@@ -39,6 +40,7 @@
 pub mod names;
 pub mod numbers;
 pub mod open_queue;
+pub mod outcomes;
 pub mod owner_cache;
 pub mod pause_watch;
 pub mod pending_searches;
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::generations::Generations;
+use crate::outcomes::Outcomes;
 use crate::segment::{Segment, SegmentKind};
 use crate::{FlowTuple, Timestamp};
 
@@ -81,13 +82,19 @@
     flows: Generations<FlowTuple, TargetFlow>,
     /// Time that the target takes for a request that does not wait, smoothed.
     work: Duration,
+    outcomes: Outcomes,
     /// Since when the target has left every packet without an answer.
     unheard: Option<Timestamp>,
 }
 
 impl Default for TargetFlows {
     fn default() -> Self {
-        Self { flows: Generations::new(FLOW_LIFETIME, CAPACITY), work: FIRST_WORK, unheard: None }
+        Self {
+            flows: Generations::new(FLOW_LIFETIME, CAPACITY),
+            work: FIRST_WORK,
+            outcomes: Outcomes::default(),
+            unheard: None,
+        }
     }
 }
 
@@ -112,7 +119,10 @@
 
     /// Takes in a packet of the caller and says whether it belongs to the target, which has `slots`.
     pub fn note_caller(&mut self, seg: &Segment, slots: u16, now: Timestamp) -> Fit {
-        let unqueued = seg.len > 0 && self.load(now).requests <= u32::from(slots);
+        // Looking at all flows costs: only the first packet of a request needs it.
+        let begins = |flow: &TargetFlow| seg.len > 0 && flow.request.is_none();
+        let unqueued = self.flows.peek(&seg.flow).is_some_and(begins)
+            && self.load(now).requests <= u32::from(slots);
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return Fit::Unknown };
         if flow.stage == Stage::Opening {
             let near =
@@ -149,6 +159,12 @@
         self.unheard.is_some_and(|since| now.since(since) >= SILENCE_LIMIT)
     }
 
+    /// Returns whether the target breaks off what it is given.
+    #[must_use]
+    pub fn failing(&self, now: Timestamp) -> bool {
+        self.outcomes.failing(now)
+    }
+
     /// Takes in a packet of the target.
     pub fn note_target(&mut self, seg: &Segment, now: Timestamp) -> FromTarget {
         self.heard();
@@ -170,6 +186,9 @@
             return FromTarget { new: true, ..FromTarget::default() };
         };
         let stray_reset = seg.kind == SegmentKind::Reset && flow.stage == Stage::Opening;
+        if seg.kind == SegmentKind::Reset && flow.stage == Stage::Open && flow.request.is_some() {
+            self.outcomes.break_off(now);
+        }
         match seg.kind {
             SegmentKind::Accept => {
                 let fresh = flow.target_seq != Some(seg.seq);
@@ -181,6 +200,9 @@
         }
         let request = if seg.len > 0 { flow.request.take() } else { None };
         let answered = request.map(|since| now.since(since));
+        if answered.is_some() {
+            self.outcomes.answer();
+        }
         if let Some(took) = answered.filter(|_| flow.unqueued) {
             self.work = (self.work * (WORK_SHARE - 1) + took) / WORK_SHARE;
         }
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -792,3 +792,26 @@
     let env = envelope(search(SearchPlace::Holder(0)));
     assert!(matches!(arrived(&mut gate, &request(1), &env, known), Verdict::Deliver { .. }));
 }
+
+/// A target that goes down and up accepts flows all the time, and resets each once its request has come.
+#[test]
+fn failing_target_passes_on_while_others_serve() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    for port in 1..=3 {
+        open_flow(&mut gate, port, known);
+        arrived(&mut gate, &request(port), &envelope(Errand::Deliver), known);
+        assert!(!gate.answered(&segment(port, SegmentKind::Reset), NOW).stray_reset);
+    }
+    let verdict = arrived(&mut gate, &open(4), &place(), known);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Failing, .. }), "{verdict:?}");
+    // Nobody else is left: it must try.
+    let passed = vec![ProcessId(2), ProcessId(3)];
+    let env = envelope(Errand::Place { passed, late: false });
+    let verdict = arrived(&mut gate, &open(5), &env, known);
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+    gate.heard();
+    let verdict = gate.arrived(&open(6), &place(), known, NOW + Duration::from_millis(500));
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -50,6 +50,17 @@
     Tick,
 }
 
+/// What an agent sees of its target's work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fitness {
+    /// It answers.
+    Sound,
+    /// It leaves everything without an answer.
+    Silent,
+    /// It breaks off what it is given.
+    Failing,
+}
+
 /// A run of the target.
 #[derive(Debug)]
 struct TargetRun {
@@ -85,7 +96,7 @@
     registrations: Registrations,
     origins: HashMap<SocketAddrV4, Origin>,
     run: Option<TargetRun>,
-    silent: bool,
+    fitness: Fitness,
     /// Opening packets that wait for the target.
     opens: OpenQueue,
     /// The others have been told that no flow is here.
@@ -127,7 +138,7 @@
             registrations: Registrations::default(),
             origins: HashMap::new(),
             run: None,
-            silent: false,
+            fitness: Fitness::Sound,
             opens: OpenQueue::default(),
             empty: false,
             pauses: PauseWatch::new(TICK * 2),
@@ -308,9 +319,9 @@
             SegmentKind::Open { .. } => "given to the target",
             _ => "tried at the target",
         };
-        let load = self.gate.load(now);
-        let slots = self.gate.slots();
+        let gate = &self.gate;
         self.log.flow(now, &seg.flow, decided, || {
+            let (load, slots) = (gate.load(now), gate.slots());
             format!("{} requests in {slots} slots, {} flows", load.requests, load.flows)
         });
     }
@@ -350,7 +361,7 @@
     fn tick(&mut self, now: Timestamp) {
         self.registrations.flush(&self.agents, &self.handle);
         self.send_reports(now);
-        self.watch_silence(now);
+        self.watch_fitness(now);
         self.watch_emptiness(now);
         self.finish_stop(now);
     }
--- a/crates/dillmill-flow/src/agent_task/target_word.rs
+++ b/crates/dillmill-flow/src/agent_task/target_word.rs
@@ -1,11 +1,11 @@
 //! What an agent hears of its target, and what it tells the others of it.
 
 use dillmill_core::flow_gate::{TargetPresence, TargetStanding};
-use dillmill_core::{EventKind, FlowTuple, Role, ServiceTag, Timestamp, Weight};
+use dillmill_core::{EventKind, FlowTuple, MemberStatus, Role, ServiceTag, Timestamp, Weight};
 use dillmill_platform::endpoint::Accepted;
 use dillmill_platform::{EndpointCall, Heartbeat, TargetCall, TargetState, packet};
 
-use super::{AgentTask, TargetRun};
+use super::{AgentTask, Fitness, TargetRun};
 
 /// Heartbeats that a target which starts after its agent may have sent before one comes through: it tries some
 /// times more when the first ones fail.
@@ -96,23 +96,39 @@
         Vec::new()
     }
 
-    /// Says so when the target falls silent, and when it speaks again.
-    pub(super) fn watch_silence(&mut self, now: Timestamp) {
-        let silent = self.gate.target_silent(now);
-        if silent == self.silent {
+    /// Says so when the target falls silent or breaks off what it is given, and when it serves again.
+    pub(super) fn watch_fitness(&mut self, now: Timestamp) {
+        let fitness = self.fitness(now);
+        if fitness == self.fitness {
             return;
         }
-        self.silent = silent;
-        let what = if silent { "target silent" } else { "target answers again" };
         let standing = self.gate.standing();
+        let what = format!("target {:?} -> {fitness:?}", self.fitness);
+        self.fitness = fitness;
         self.handle.journal.record(EventKind::Member, what, format!("standing {standing:?}"));
-        if silent {
+        if fitness != Fitness::Sound {
             self.handle.leave();
         } else if self.gate.takes_new(now) && standing == TargetStanding::Ready {
             self.handle.serve();
         }
     }
 
+    /// Returns what is seen of the target. A failing one is given up only while most of its siblings serve:
+    /// if all fail, the fault lies elsewhere, and somebody must try.
+    fn fitness(&self, now: Timestamp) -> Fitness {
+        if self.gate.target_silent(now) {
+            return Fitness::Silent;
+        }
+        let service = self.gate.service();
+        let siblings =
+            || self.agents.iter().filter(|a| a.service == service && a.data != self.gate.data());
+        let serving = siblings().filter(|a| a.status == MemberStatus::Serving).count();
+        if self.gate.target_failing(now) && serving * 2 > siblings().count() {
+            return Fitness::Failing;
+        }
+        Fitness::Sound
+    }
+
     /// Says so when there is no target, so that nobody searches for flows here.
     pub(super) fn watch_emptiness(&mut self, now: Timestamp) {
         if !self.empty && self.gate.is_empty(now) {
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -20,9 +20,10 @@
         now: Timestamp,
     ) {
         let SegmentKind::Open { copies } = seg.kind else { return };
-        let (waiting, load) = (self.opens.len(), self.gate.load(now));
+        let (waiting, gate) = (self.opens.len(), &self.gate);
         self.log.flow(now, &seg.flow, "waits", || {
-            format!("{} requests at the target, {waiting} wait, copies {copies}", load.requests)
+            let requests = gate.load(now).requests;
+            format!("{requests} requests at the target, {waiting} wait, copies {copies}")
         });
         let since = open_queue::waiting_since(copies, now);
         let open = WaitingOpen { flow: seg.flow, packet, envelope, limit, since };
