fix(core): a process that was cut off is asked again within a second

Its agent was still held for down by one balancer: each process asks one of those held for down every 5 s, and earlier runs of restarted processes, whose addresses others have taken over, were drawn as well.

Change: one ping a second, to processes whose address nobody else has.

Test: lost_process_asked_again_soon failed before (one lost process among 40 earlier runs was not asked in 1.2 s).

--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -9,7 +9,7 @@
 //! Silence removes new work and nothing else: flows are pinned by their connection ids, and a
 //! process that speaks again raises its version and is served again.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -31,7 +31,9 @@
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(400);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1200);
 const SUSPECT_TIMEOUT: Duration = Duration::from_secs(3);
-const REVIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two pings to processes that are held for down. One that was cut off for a while must be known
+/// again well before callers have used up their patience: its flows run on.
+const REVIVE_INTERVAL: Duration = Duration::from_secs(1);
 const FORGET_AFTER: Duration = Duration::from_mins(30);
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 /// New seeds that are asked at once: one or two of them may be gone.
@@ -474,12 +476,14 @@
         out.push(self.ping(subject, self.seq));
     }
 
+    /// Pings a process that is held for down, other than one whose address another run has taken over.
     fn probe_down(&self, draw: &mut Draw<'_>, out: &mut Vec<Outgoing>) {
+        let up: BTreeSet<SocketAddrV4> =
+            self.all().filter(|m| m.status != MemberStatus::Down).map(|m| m.control).collect();
         let down: Vec<ProcessId> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.member.status == MemberStatus::Down)
-            .map(|(process, _)| *process)
+            .others()
+            .filter(|m| m.status == MemberStatus::Down && !up.contains(&m.control))
+            .map(|m| m.process)
             .collect();
         if !down.is_empty() {
             out.push(self.ping(down[draw(down.len())], ABOUT_SEQ));
--- a/crates/dillmill-core/tests/membership_views.rs
+++ b/crates/dillmill-core/tests/membership_views.rs
@@ -260,3 +260,28 @@
     view.learn(member(3), now);
     assert!(!view.settled(now));
 }
+
+/// A process that was cut off is asked within a second, however many earlier runs of others are on record: its
+/// flows run on, and must not be taken for gone.
+#[test]
+fn lost_process_asked_again_soon() {
+    let now = Timestamp::from_millis(1000);
+    let mut view = Membership::new(member(1));
+    view.learn(member(2), now);
+    let mut lose = |member: Member| {
+        view.learn(member.clone(), now);
+        view.learn(Member { version: 2, status: MemberStatus::Down, ..member }, now);
+    };
+    lose(member(9));
+    for n in 0..40 {
+        // An earlier run of process 2, at the same address.
+        lose(Member { process: ProcessId(1000 + n), started: Timestamp::default(), ..member(2) });
+    }
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut asked = 0;
+    for step in 1..=24 {
+        let out = view.tick(now + STEP * step, &mut |n| rng.random_range(0..n));
+        asked += out.iter().filter(|o| o.to == addr(9)).count();
+    }
+    assert!(asked > 0, "not asked in 1.2 s");
+}
