--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -54,6 +54,12 @@
 }
 
 impl FlowFleet {
+    /// Keeps the folder with the logs of all processes, and returns it.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        self.dir.disable_cleanup(true);
+        self.dir.path().to_owned()
+    }
+
     /// Starts the store, `balancers` balancers, and for each service so many targets with agents.
     ///
     /// The route with port 443 leads to the first service.
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,6 +40,8 @@
     pub answered: u64,
     /// Flows or tries that ended without an answer, as faults explain.
     pub ended: u64,
+    /// Where the logs of all processes are, if a promise was broken.
+    pub logs: Option<PathBuf>,
 }
 
 /// What is true at a moment, against which callers hold what they see.
@@ -127,7 +130,11 @@
         task.await.map_err(|_| StandinError::new("join a caller", "it panicked"))?;
     }
     faults.settle(&mut fleet).await?;
-    Ok(std::mem::take(&mut facts.borrow_mut().report))
+    let mut report = std::mem::take(&mut facts.borrow_mut().report);
+    if !report.broken.is_empty() {
+        report.logs = Some(fleet.keep_logs());
+    }
+    Ok(report)
 }
 
 /// Runs a soak for each seed and prints what came of it.
@@ -153,6 +160,9 @@
             for line in report.actions.iter().chain(&report.broken) {
                 println!("  {line}");
             }
+            if let Some(logs) = &report.logs {
+                println!("  logs are in {}", logs.display());
+            }
             failed.push(seed.to_string());
         }
     }
