refactor(core): say what late means for an opening packet

Two variables were named late in one function, and a comment still spoke of a refusal where the packet waits now.

--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -13,8 +13,8 @@
 /// Agents that may pass an opening packet on before the last one must decide.
 pub(super) const PLACE_HOPS: usize = 3;
 /// Part of a route's latency aim that the work ahead of a new request may take, in percent. Beyond it the
-/// answer would come late in any case, and late for all behind it; refused at once, the caller can try
-/// elsewhere. The rest is for the way, for the caller's own time, and for work that takes longer than the
+/// answer would come late in any case, and late for all behind it, so that the packet waits at the agent, where
+/// those behind it may go first. The rest is for the way, for the caller's own time, and for work that takes longer than the
 /// average; 55, 75 and 95 were measured on whole days.
 const AIM_SHARE: u32 = 55;
 /// The same where a route has no aim, in rounds of work.
@@ -51,13 +51,15 @@
         if requests >= u32::from(self.slots) {
             let limit = if late { Duration::ZERO } else { self.time_limit(arrival) };
             let waited = now.since(open_queue::waiting_since(copies, now));
-            let late = waited + self.work_of(requests + 1) > limit;
-            let hops = passed.len() < PLACE_HOPS;
+            let misses_aim = waited + self.work_of(requests + 1) > limit;
+            let reason = if misses_aim { PassReason::Crowded } else { PassReason::Full };
             // Bytes between data centres cost, so a wait that the aim allows stays in this one.
-            if hops && let Some(verdict) = self.pass_on(arrival, service, passed, reach_of(late)) {
+            if passed.len() < PLACE_HOPS
+                && let Some(verdict) = self.pass_on(arrival, service, passed, reason)
+            {
                 return verdict;
             }
-            if late {
+            if misses_aim {
                 return Verdict::Wait { limit, envelope: env.clone() };
             }
         }
@@ -143,11 +145,6 @@
     }
 }
 
-/// Returns why a full target's flow goes on, and with that how far.
-fn reach_of(late: bool) -> PassReason {
-    if late { PassReason::Crowded } else { PassReason::Full }
-}
-
 /// Returns the service of a new flow: what the balancer said, unless newer settings say otherwise.
 fn service_now(seg: &Segment, env: &Envelope, routes: &RouteTable) -> Option<ServiceTag> {
     if routes.revision <= env.revision {
