test(flow): the soak notes a change of the route before it is made

Logs kept: the change was in force on all processes at 4.1 s (revision 6, the first of four); the soak noted it at 4.18 s, when the store had answered the last one. A flow may follow a change as soon as it is in the store.

Ruled out: a stale route (labels-3 was the newest service).

Change: the service is noted before the first write; the 3 s in which the service before may still answer run from the last answer, as they did. The check is as strict after a change as it was.

--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -339,13 +339,14 @@
     async fn change_route(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
         let service = SERVICES[self.rng.random_range(0..SERVICES.len())];
         let changes = self.rng.random_range(1..=4);
+        // Processes may follow before the store's answer is here; the time limit runs from that answer on.
+        self.facts.borrow_mut().routes.push((Instant::now(), service));
         for _ in 0..changes {
             self.version += self.rng.random_range(1..=3);
             fleet.set_route(self.version, service).await?;
         }
-        let mut facts = self.facts.borrow_mut();
-        facts.act(&format!("route to {service} in {changes} changes"));
-        facts.routes.push((Instant::now(), service));
+        self.forgive_route();
+        self.facts.borrow_mut().act(&format!("route to {service} in {changes} changes"));
         Ok(())
     }
 
