--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -202,14 +202,15 @@
         self.stopping = true;
     }
 
-    /// Another run of the target has begun: it holds no flow.
+    /// Another run of the target has spoken.
     ///
-    /// Returns the flows that ended with the earlier run, with the numbers of the bytes that their callers
-    /// expect next. A caller that waits for an answer sends nothing, and would wait until its deadline.
-    pub fn new_target(&mut self, service: ServiceTag) -> Vec<(FlowTuple, u32)> {
+    /// Returns the flows that are open as far as is known. The new run may have taken some of them before its
+    /// first heartbeat; it gives back the packets of the others, so each of them is to be asked about.
+    pub fn new_target(&mut self, service: ServiceTag) -> Vec<FlowTuple> {
         self.service = service;
         self.sees_all = true;
-        self.flows.clear()
+        self.flows.heard();
+        self.flows.open().map(|(flow, _)| flow).collect()
     }
 
     /// Notes a sign of life of the target.
@@ -297,11 +298,12 @@
             .cloned()
             .flatten();
         self.flows.heard();
-        self.flows.forget(&seg.flow);
+        let ended = self.flows.given_back(&seg.flow);
         self.not_held.insert(seg.flow, (), now);
-        match trial {
-            Some(env) => self.after_trial(Arrival { seg, env: &env, known, now }),
-            None => Verdict::Drop,
+        match (ended, trial) {
+            (Some(caller_expects), _) => Verdict::Ended { caller_expects },
+            (None, Some(env)) => self.after_trial(Arrival { seg, env: &env, known, now }),
+            (None, None) => Verdict::Drop,
         }
     }
 
--- a/crates/dillmill-core/src/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow_gate/verdict.rs
@@ -108,6 +108,11 @@
         /// The agent to which the balancer gave the flow.
         placed: ProcessId,
     },
+    /// Tell the caller that its flow is over: the run of the target that held it has ended.
+    Ended {
+        /// Number of the byte that the caller expects next.
+        caller_expects: u32,
+    },
     /// Do nothing; the caller sends again.
     Drop,
 }
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
 //! | [`open_queue`] | which opening packet comes next at a target with too much to do |
 //! | [`outcomes`] | whether a target that breaks requests off is set aside |
+//! | [`target_runs`] | which run of a target a heartbeat speaks for |
 //! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
@@ -23,6 +24,7 @@
 //! | [`store_duty`] | which processes keep an entry in the platform's store for others to join through |
 
 pub mod agent_table;
+pub mod caller_packets;
 pub mod claims;
 pub mod envelope;
 pub mod event;
@@ -53,11 +55,13 @@
 pub mod service_tag;
 pub mod store_duty;
 pub mod target_flows;
+pub mod target_runs;
 pub mod timestamp;
 pub mod warm_up;
 pub mod watch_duty;
 
 pub use agent_table::{AgentEntry, AgentTable};
+pub use caller_packets::CallerPackets;
 pub use envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 pub use event::{Event, EventKind, EventLog};
 pub use flow_directory::{FlowDirectory, FlowRecord};
@@ -80,4 +84,5 @@
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
 pub use service_tag::ServiceTag;
+pub use target_runs::TargetRuns;
 pub use timestamp::Timestamp;
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -215,19 +215,13 @@
         self.work
     }
 
-    /// Forgets a flow that the target does not hold; returns whether it was known.
-    pub fn forget(&mut self, flow: &FlowTuple) -> bool {
-        self.flows.remove(flow).is_some()
-    }
-
-    /// Forgets all flows, as another run of the target has taken its place, and returns those that were
-    /// open, with the number of the byte that the caller expects next.
-    pub fn clear(&mut self) -> Vec<(FlowTuple, u32)> {
-        let open = self.flows.iter().filter(|(_, flow)| flow.stage == Stage::Open);
-        let lost = open.map(|(tuple, flow)| (*tuple, flow.caller_expects)).collect();
-        self.flows.clear();
-        self.heard();
-        lost
+    /// Forgets a flow of which the target has given a packet back, as it does not hold the flow.
+    ///
+    /// Returns the number of the byte that the caller expects next, if the flow was open here: it has ended
+    /// with an earlier run of the target.
+    pub fn given_back(&mut self, flow: &FlowTuple) -> Option<u32> {
+        let known = self.flows.remove(flow)?;
+        (known.stage == Stage::Open).then_some(known.caller_expects)
     }
 
     /// Returns the open flows, with the number with which the target began.
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -319,15 +319,38 @@
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
 }
 
-#[test]
-fn new_target_holds_no_flow() {
+/// A packet of a flow that ended with an earlier run comes back; its caller is told with the first one.
+#[rstest]
+#[case::data(SegmentKind::Data)]
+#[case::last(SegmentKind::Finish)]
+fn new_target_holds_no_flow(#[case] kind: SegmentKind) {
     let (agents, routes) = (three(), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
+    arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
     gate.new_target(tag("orders"));
+    let back = Segment { returned: true, ..segment(1, kind) };
+    let verdict = gate.returned(&back, known, NOW);
+    assert_eq!(verdict, Verdict::Ended { caller_expects: TARGET_SEQ + 1 });
     let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
     assert!(!matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+    assert_eq!(gate.load(NOW).requests, 0, "nothing of it runs");
+}
+
+/// Found by a day with targets that crash and come back: the first heartbeat of a run comes after its first
+/// flows, and they were taken for flows of the earlier run.
+#[test]
+fn flows_of_the_new_run_kept() {
+    let (agents, routes) = (three(), routes(1, "orders"));
+    let known = Known { agents: &agents, routes: &routes, settled: true };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, known);
+    arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    assert_eq!(gate.new_target(tag("orders")), [flow(1)], "to be asked about");
+    let verdict = arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
+    assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: None });
+    assert_eq!(gate.load(NOW).requests, 1);
 }
 
 #[test]
@@ -512,16 +535,18 @@
     assert!(!gate.target_silent(later + Duration::from_secs(9)), "nothing waits for it");
 }
 
-/// Callers whose flows ended with a run of the target are told, with the number that they expect.
+/// Flows that callers have opened are asked about when another run of the target speaks, others are not.
 #[test]
-fn flows_of_an_ended_target_listed() {
+fn open_flows_asked_about() {
     let (agents, routes) = (three(), routes(1, "orders"));
     let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     open_flow(&mut gate, 1, known);
     arrived(&mut gate, &request(1), &envelope(Errand::Deliver), known);
     open_flow(&mut gate, 2, known);
-    assert_eq!(gate.new_target(tag("orders")), [(flow(1), TARGET_SEQ + 1)]);
+    assert_eq!(gate.new_target(tag("orders")), [flow(1)]);
+    let back = Segment { returned: true, ..request(2) };
+    assert!(!matches!(gate.returned(&back, known, NOW), Verdict::Ended { .. }), "never open");
 }
 
 /// A full target asks its neighbours; targets in other data centres only when an answer would be late.
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -9,8 +9,8 @@
 use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, FlowGate, FlowTuple, OpenQueue, PauseWatch, RouteTable, Segment,
-    SegmentKind, ServiceName, ServiceTag, Timestamp, ZoneName,
+    AgentTable, CallerPackets, Envelope, Errand, FlowGate, FlowTuple, OpenQueue, PauseWatch,
+    RouteTable, Segment, SegmentKind, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::packet::{self, Sender};
@@ -61,13 +61,6 @@
     Failing,
 }
 
-/// A run of the target.
-#[derive(Debug)]
-struct TargetRun {
-    id: String,
-    last_number: u64,
-}
-
 /// A balancer that sends new flows here.
 #[derive(Debug, Clone, Copy)]
 struct Origin {
@@ -95,7 +88,9 @@
     settled: bool,
     registrations: Registrations,
     origins: HashMap<SocketAddrV4, Origin>,
-    run: Option<TargetRun>,
+    runs: TargetRuns,
+    /// Packets to ask the target with which flows it holds.
+    kept: CallerPackets,
     fitness: Fitness,
     /// Opening packets that wait for the target.
     opens: OpenQueue,
@@ -137,7 +132,8 @@
             settled: false,
             registrations: Registrations::default(),
             origins: HashMap::new(),
-            run: None,
+            runs: TargetRuns::new(settings.heartbeat_every),
+            kept: CallerPackets::default(),
             fitness: Fitness::Sound,
             opens: OpenQueue::default(),
             empty: false,
@@ -256,6 +252,7 @@
             Verdict::Deliver { mark, tell } => {
                 self.no_longer_waits(seg);
                 self.log_delivery(seg, mark, now);
+                self.kept.keep(seg, &packet, now);
                 self.deliver(packet, mark).await;
                 if let Some(balancer) = tell {
                     let (owner, data) = (self.handle.process, self.gate.data());
@@ -288,6 +285,11 @@
                     self.handle.send(origin, Message::Flow(message));
                 }
             }
+            Verdict::Ended { caller_expects } => {
+                self.log.flow(now, &seg.flow, "reset", || "its target has ended".to_owned());
+                let reset = packet::reset(&seg.flow, caller_expects);
+                self.send_to_caller(&seg.flow, reset.to_vec()).await;
+            }
             refused @ Verdict::Refuse { .. } => self.refuse(&seg.flow, &refused, now),
             Verdict::Drop => self.counters.dropped.inc(),
         }
--- a/crates/dillmill-flow/src/agent_task/target_word.rs
+++ b/crates/dillmill-flow/src/agent_task/target_word.rs
@@ -1,15 +1,12 @@
 //! What an agent hears of its target, and what it tells the others of it.
 
 use dillmill_core::flow_gate::{TargetPresence, TargetStanding};
+use dillmill_core::target_runs::{FIRST_HEARTBEATS, Heard};
 use dillmill_core::{EventKind, FlowTuple, MemberStatus, Role, ServiceTag, Timestamp, Weight};
 use dillmill_platform::endpoint::Accepted;
-use dillmill_platform::{EndpointCall, Heartbeat, TargetCall, TargetState, packet};
+use dillmill_platform::{EndpointCall, Heartbeat, TargetCall, TargetState};
 
-use super::{AgentTask, Fitness, TargetRun};
-
-/// Heartbeats that a target which starts after its agent may have sent before one comes through: it tries some
-/// times more when the first ones fail.
-const FIRST_HEARTBEATS: u64 = 5;
+use super::{AgentTask, Fitness};
 
 impl AgentTask {
     pub(super) fn take_presence(&mut self, presence: TargetPresence) {
@@ -27,12 +24,12 @@
                 let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
             }
             EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
-                let lost = self.heartbeat(&id, &heartbeat);
+                let in_doubt = self.heartbeat(&id, &heartbeat, now);
                 let _ = tx.send(Accepted::Yes);
-                self.reset_lost(lost, now).await;
+                self.ask_target(in_doubt, now).await;
             }
             EndpointCall::Target(TargetCall::Leave { id }, tx) => {
-                if self.run.as_ref().is_none_or(|run| run.id == id) {
+                if self.runs.may_be_current(&id) {
                     self.set_standing(TargetStanding::Gone, self.gate.slots(), &id, "its own word");
                 }
                 let _ = tx.send(Accepted::Yes);
@@ -43,25 +40,32 @@
         }
     }
 
-    /// Tells the callers whose flows have ended with a run of the target.
-    async fn reset_lost(&mut self, lost: Vec<(FlowTuple, u32)>, now: Timestamp) {
-        for (flow, caller_expects) in lost {
-            self.log.flow(now, &flow, "reset", || "its target has ended".to_owned());
-            self.send_to_caller(&flow, packet::reset(&flow, caller_expects).to_vec()).await;
+    /// Asks the target which of these flows it holds, with a copy of a packet that their callers have sent: it
+    /// gives back those of flows that ended with an earlier run.
+    async fn ask_target(&mut self, in_doubt: Vec<FlowTuple>, now: Timestamp) {
+        for flow in in_doubt {
+            let packet = self.kept.get(&flow).map(<[u8]>::to_vec);
+            self.log.flow(now, &flow, "in doubt", || {
+                format!("another run of the target, packet to ask with: {}", packet.is_some())
+            });
+            if let Some(packet) = packet {
+                self.deliver(packet, 0).await;
+            }
         }
     }
 
-    /// Takes a heartbeat in; returns the flows that ended with an earlier run of the target.
-    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
-        let same = self.run.as_ref().filter(|run| run.id == id);
-        let lost = match same.map(|run| run.last_number) {
-            // A late one must not bring an earlier state back.
-            Some(last) if heartbeat.number <= last => return Vec::new(),
-            Some(_) => Vec::new(),
-            None => self.new_run(id, heartbeat),
+    /// Takes a heartbeat in; returns the flows that may have ended with an earlier run of the target.
+    fn heartbeat(&mut self, id: &str, heartbeat: &Heartbeat, now: Timestamp) -> Vec<FlowTuple> {
+        let in_doubt = match self.runs.heartbeat(id, heartbeat.number, now) {
+            Heard::Late => {
+                let what = format!("late heartbeat {} of target {id}", heartbeat.number);
+                self.handle.journal.record(EventKind::Member, what, "not the current run's next");
+                return Vec::new();
+            }
+            Heard::Current => Vec::new(),
+            Heard::NewRun { first } => self.new_run(id, heartbeat, first),
         };
         self.gate.heard();
-        self.run = Some(TargetRun { id: id.to_owned(), last_number: heartbeat.number });
         self.gate.set_cold(heartbeat.cold_ms > 0);
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
@@ -69,12 +73,11 @@
         };
         let cause = format!("heartbeat {}", heartbeat.number);
         self.set_standing(standing, heartbeat.slots, id, &cause);
-        lost
+        in_doubt
     }
 
     /// Takes in the first heartbeat of a run of the target.
-    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat) -> Vec<(FlowTuple, u32)> {
-        let first = self.run.is_none();
+    fn new_run(&mut self, id: &str, heartbeat: &Heartbeat, first: bool) -> Vec<FlowTuple> {
         let what = format!("target {id} of {}", heartbeat.service);
         let cause = format!("heartbeat {}, first run here: {first}", heartbeat.number);
         self.handle.journal.record(EventKind::Member, what, cause);
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -158,9 +158,23 @@
     ///
     /// Fails when it can't be started.
     pub async fn run_target(&mut self, name: &str, id: &str) -> Result<(), StandinError> {
+        self.run_silent_target(name, id, Duration::ZERO).await
+    }
+
+    /// The same, with a target that sends its first heartbeat after `silence`, and takes flows before.
+    ///
+    /// # Errors
+    ///
+    /// As [`run_target`](Self::run_target).
+    pub async fn run_silent_target(
+        &mut self,
+        name: &str,
+        id: &str,
+        silence: Duration,
+    ) -> Result<(), StandinError> {
         let vm = self.vm(name)?;
         vm.target = None;
-        vm.target = Some(FlowTarget::spawn(&vm.settings, id).await?);
+        vm.target = Some(FlowTarget::spawn(&vm.settings, id, silence).await?);
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -310,7 +310,9 @@
             facts.act(&format!("replace target by {run}"));
             facts.living.retain(|living| vm_of(living) != vm);
         }
-        fleet.run_target(&vm, &run).await?;
+        // Callers open flows at the new run before it has spoken.
+        let silence = self.short(500);
+        fleet.run_silent_target(&vm, &run, silence).await?;
         self.facts.borrow_mut().living.insert(run);
         Ok(())
     }
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -40,12 +40,17 @@
 }
 
 impl FlowTarget {
-    /// Starts the target beside the agent with `settings`; `id` names this run of it.
+    /// Starts the target beside the agent with `settings`; `id` names this run of it. It takes flows at once, and
+    /// sends its first heartbeat after `silence`.
     ///
     /// # Errors
     ///
     /// Fails when its address can't be bound.
-    pub async fn spawn(settings: &ProcessSettings, id: &str) -> Result<Self, StandinError> {
+    pub async fn spawn(
+        settings: &ProcessSettings,
+        id: &str,
+        silence: Duration,
+    ) -> Result<Self, StandinError> {
         let step = format!("start target {id}");
         let missing = || StandinError::new(step.clone(), "the settings lack an address");
         let app = settings.target.ok_or_else(missing)?;
@@ -68,7 +73,7 @@
         let tasks = [
             compio::runtime::spawn(packets),
             compio::runtime::spawn(accept(health)),
-            compio::runtime::spawn(send_heartbeats(url, state.clone())),
+            compio::runtime::spawn(send_heartbeats(url, silence, state.clone())),
         ];
         Ok(Self { state, _tasks: tasks })
     }
@@ -155,8 +160,9 @@
     packet::encode(&seg, Sender::Target, data)
 }
 
-async fn send_heartbeats(url: String, state: Rc<RefCell<State>>) {
+async fn send_heartbeats(url: String, silence: Duration, state: Rc<RefCell<State>>) {
     let Ok(client) = Client::new() else { return };
+    compio::time::sleep(silence).await;
     for number in 1.. {
         let heartbeat = {
             let state = state.borrow();
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -166,6 +166,27 @@
     });
 }
 
+/// Found by a day with targets that crash and come back: a run takes its first flows before its first heartbeat.
+#[test]
+fn flows_of_a_silent_new_run_kept() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(2, &[("orders", 1)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut lost = open_until_first(&caller, &fleet).await?;
+        let silence = Duration::from_millis(600);
+        fleet.run_silent_target("orders-1", "orders-1-again", silence).await?;
+        let mut flows = open(&caller, &fleet, 6).await;
+        let owners = ask(&mut flows).await;
+        assert!(owners.iter().all(Result::is_ok), "{owners:?}");
+        for flow in &mut lost {
+            assert!(flow.reset_within(Duration::from_secs(2)).await, "of the earlier run");
+        }
+        compio::time::sleep(silence).await;
+        assert_eq!(ask(&mut flows).await, owners, "after the first heartbeat");
+        Ok(())
+    });
+}
+
 #[test]
 fn hang_up_reads_the_file_again() {
     on_runtime(async {
