--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -4,6 +4,7 @@
 //! believed: whether its target is leaving, full or of another service, whether the target holds the
 //! flow, and whether newer settings send the flow elsewhere.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::envelope::{Envelope, Errand};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::generations::Generations;
+use crate::open_queue::OpenQueue;
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{TargetFlows, TargetLoad};
@@ -20,8 +22,10 @@
 mod lookup;
 mod opening;
 mod verdict;
+mod waiting;
 
 pub use verdict::{PassReason, RefuseReason, TargetPresence, TargetStanding, Verdict};
+use waiting::TakenOpen;
 
 /// After this time every flow that began before the agent did is over or may be forgotten.
 const ALL_FLOWS_SEEN: Duration = Duration::from_mins(1);
@@ -99,6 +103,10 @@
     sees_all: bool,
     flows: TargetFlows,
     directory: FlowDirectory,
+    /// Opening packets that wait for the target.
+    opens: OpenQueue,
+    /// Those that had their turn, until it is known whether their callers were still there.
+    taken: VecDeque<TakenOpen>,
     trials: Vec<Option<Envelope>>,
     next_trial: usize,
     /// Flows that the target has given back. It can hold one only after an opening packet that passed here.
@@ -124,6 +132,8 @@
             sees_all: false,
             flows: TargetFlows::default(),
             directory: FlowDirectory::default(),
+            opens: OpenQueue::default(),
+            taken: VecDeque::new(),
             trials: vec![None; TRIALS],
             next_trial: 0,
             not_held: Generations::new(ALL_FLOWS_SEEN, NOT_HELD),
@@ -280,6 +290,9 @@
         let arrival = Arrival { seg, env, known, now };
         match (&env.errand, seg.kind) {
             (Errand::Place { passed, late }, SegmentKind::Open { copies }) => {
+                if self.opens.note_copy(&seg.flow, copies) {
+                    return Verdict::Drop;
+                }
                 self.place(arrival, copies, passed, *late)
             }
             (Errand::Place { .. }, _) | (_, SegmentKind::Open { .. } | SegmentKind::Accept) => {
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -1,14 +1,16 @@
 //! What an agent does with an opening packet.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use super::{Arrival, FlowGate, PassReason, RefuseReason, Verdict};
 use crate::agent_table::AgentEntry;
 use crate::envelope::{Envelope, Errand};
 use crate::flow_directory::FlowRecord;
+use crate::open_queue::WaitTerms;
 use crate::route_table::RouteTable;
 use crate::segment::Segment;
-use crate::{ProcessId, ServiceTag, Timestamp, open_queue};
+use crate::{ProcessId, ServiceTag, Timestamp, patience};
 
 /// Agents that may pass an opening packet on before the last one must decide.
 pub(super) const PLACE_HOPS: usize = 3;
@@ -29,45 +31,78 @@
         passed: &[ProcessId],
         late: bool,
     ) -> Verdict {
-        let Arrival { seg, env, known, now } = arrival;
-        let Some(service) = service_now(seg, env, known.routes) else {
-            return self.refuse(RefuseReason::NoRoute, env, passed);
-        };
-        if service != self.service {
-            let reason = PassReason::OtherService;
-            return self.pass_on(arrival, service, passed, reason).unwrap_or(Verdict::Drop);
-        }
-        if !self.takes_new(now) {
-            let refused = self.refuse(RefuseReason::NoTarget, env, passed);
-            return self.pass_on(arrival, service, passed, PassReason::Leaving).unwrap_or(refused);
-        }
-        if self.target_failing(now)
-            && passed.len() < PLACE_HOPS
-            && let Some(verdict) = self.pass_on(arrival, service, passed, PassReason::Failing)
-        {
+        if let Some(verdict) = self.place_elsewhere(arrival, passed) {
             return verdict;
         }
+        let Arrival { seg, env, now, .. } = arrival;
+        let terms = self.wait_terms(arrival, copies).late(late);
         let requests = self.load(now).requests;
-        if requests >= u32::from(self.slots) {
-            let limit = if late { Duration::ZERO } else { self.time_limit(arrival) };
-            let waited = now.since(open_queue::waiting_since(copies, now));
-            let misses_aim = waited + self.work_of(requests + 1) > limit;
-            let reason = if misses_aim { PassReason::Crowded } else { PassReason::Full };
+        let crowded = self.opens.any_urgent(now);
+        if requests >= u32::from(self.slots) || crowded {
+            let wait = crowded || !terms.in_time(self.work_of(requests + 1), now);
+            let reason = if wait { PassReason::Crowded } else { PassReason::Full };
             // Bytes between data centres cost, so a wait that the aim allows stays in this one.
             if passed.len() < PLACE_HOPS
-                && let Some(verdict) = self.pass_on(arrival, service, passed, reason)
+                && let Some(verdict) = self.pass_on(arrival, env.service, passed, reason)
             {
                 return verdict;
             }
-            if misses_aim {
-                return Verdict::Wait { limit, envelope: env.clone() };
+            if wait {
+                let errand = Errand::Place { passed: Vec::new(), late };
+                let envelope = Envelope { errand, ..env.clone() };
+                return Verdict::Wait { terms, envelope, tell: tell(env, passed) };
             }
         }
+        self.give(seg, env, copies, passed, now)
+    }
+
+    /// Decides on an opening packet that has waited here and has its turn.
+    pub(super) fn place_waiting(&mut self, arrival: Arrival<'_>, copies: u32) -> Verdict {
+        let Arrival { seg, env, now, .. } = arrival;
+        self.place_elsewhere(arrival, &[]).unwrap_or_else(|| self.give(seg, env, copies, &[], now))
+    }
+
+    /// Decides on an opening packet that the target can't take, however little it has to do.
+    fn place_elsewhere(&mut self, arrival: Arrival<'_>, passed: &[ProcessId]) -> Option<Verdict> {
+        let Arrival { seg, env, known, now } = arrival;
+        let Some(service) = service_now(seg, env, known.routes) else {
+            return Some(self.refuse(RefuseReason::NoRoute, env, passed));
+        };
+        if service != self.service {
+            let reason = PassReason::OtherService;
+            let passed = self.pass_on(arrival, service, passed, reason);
+            return Some(passed.unwrap_or(Verdict::Drop));
+        }
+        if !self.takes_new(now) {
+            let refused = self.refuse(RefuseReason::NoTarget, env, passed);
+            let passed = self.pass_on(arrival, service, passed, PassReason::Leaving);
+            return Some(passed.unwrap_or(refused));
+        }
+        if self.target_failing(now) && passed.len() < PLACE_HOPS {
+            return self.pass_on(arrival, service, passed, PassReason::Failing);
+        }
+        None
+    }
+
+    /// Has the target take an opening packet.
+    fn give(
+        &mut self,
+        seg: &Segment,
+        env: &Envelope,
+        copies: u32,
+        passed: &[ProcessId],
+        now: Timestamp,
+    ) -> Verdict {
         self.not_held.remove(&seg.flow);
         self.flows.opening(seg.flow, copies, now);
-        // The balancer knows only the agent that it chose itself.
-        let tell = (!passed.is_empty()).then_some(env.origin);
-        Verdict::Deliver { mark: self.begin_trial(env.clone()), tell }
+        Verdict::Deliver { mark: self.begin_trial(env.clone()), tell: tell(env, passed) }
+    }
+
+    fn wait_terms(&self, arrival: Arrival<'_>, copies: u32) -> WaitTerms {
+        let route = arrival.known.routes.get(arrival.seg.flow.route());
+        let (timeout, repeatable) = route.map_or((None, false), |r| (r.timeout, r.repeatable));
+        WaitTerms::new(copies, self.time_limit(arrival), arrival.now)
+            .patience(patience::assumed(timeout, repeatable))
     }
 
     /// Returns the time that a request may wait for its answer to come within the aim of its route.
@@ -77,32 +112,10 @@
         aim.map_or(self.flows.work() * ROUNDS, |aim| aim * AIM_SHARE / 100)
     }
 
-    fn work_of(&self, requests: u32) -> Duration {
+    pub(super) fn work_of(&self, requests: u32) -> Duration {
         self.flows.work() * requests / u32::from(self.slots)
     }
 
-    /// Returns the time that the target needs for what it has and one request more.
-    #[must_use]
-    pub fn work_ahead(&self, now: Timestamp) -> Duration {
-        self.work_of(self.load(now).requests + 1)
-    }
-
-    /// Returns whether a slot of the target has nothing to do.
-    #[must_use]
-    pub fn has_idle_slot(&self, now: Timestamp) -> bool {
-        self.load(now).requests < u32::from(self.slots)
-    }
-
-    /// Refuses an opening packet that has waited here.
-    #[must_use]
-    pub fn refuse_waiting(&self, env: &Envelope) -> Verdict {
-        let passed: &[ProcessId] = match &env.errand {
-            Errand::Place { passed, .. } => passed,
-            _ => &[],
-        };
-        self.refuse(RefuseReason::Crowded, env, passed)
-    }
-
     pub(super) fn refuse(
         &self,
         reason: RefuseReason,
@@ -145,6 +158,11 @@
     }
 }
 
+/// Returns the balancer that has to hear where a flow is: it knows only the agent that it chose itself.
+fn tell(env: &Envelope, passed: &[ProcessId]) -> Option<SocketAddrV4> {
+    (!passed.is_empty()).then_some(env.origin)
+}
+
 /// Returns the service of a new flow: what the balancer said, unless newer settings say otherwise.
 fn service_now(seg: &Segment, env: &Envelope, routes: &RouteTable) -> Option<ServiceTag> {
     if routes.revision <= env.revision {
--- a/crates/dillmill-core/src/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow_gate/verdict.rs
@@ -1,10 +1,10 @@
 //! What an agent may do with a packet, and why.
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use crate::ProcessId;
 use crate::envelope::Envelope;
+use crate::open_queue::WaitTerms;
 
 /// What the agent knows of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,10 +88,12 @@
     },
     /// Let the opening packet wait until the target can take it.
     Wait {
-        /// Time that it may wait, and the target's work before it take, for an answer in time.
-        limit: Duration,
-        /// What came with it.
+        /// Until when, and for what.
+        terms: WaitTerms,
+        /// What came with it, as if the balancer had chosen this agent.
         envelope: Envelope,
+        /// The balancer to tell that the packet waits here, so that copies of it come here too.
+        tell: Option<SocketAddrV4>,
     },
     /// Tell the balancer that no agent holds the flow.
     Missing {
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
 //! | [`open_queue`] | which opening packet comes next at a target with too much to do |
+//! | [`patience`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that breaks requests off is set aside |
 //! | [`target_runs`] | which run of a target a heartbeat speaks for |
 //! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
@@ -44,6 +45,7 @@
 pub mod open_queue;
 pub mod outcomes;
 pub mod owner_cache;
+pub mod patience;
 pub mod pause_watch;
 pub mod pending_searches;
 pub mod placement;
--- a/crates/dillmill-core/src/open_queue.rs
+++ b/crates/dillmill-core/src/open_queue.rs
@@ -1,18 +1,32 @@
 //! Opening packets that wait at an agent, as its target has more to do than it can in time.
 //!
 //! A refused caller tries again at once, some tries in a row, and then gives its request up. One whose opening
-//! packet waits is served as soon as there is room: those that can still be served in time first, the newest of them
-//! before the others, and the late ones when the target would have nothing to do otherwise.
+//! packet waits is served as soon as there is room. A request that nobody serves is worse than a late one, so the
+//! order is:
+//!
+//! 1. those whose callers may soon end this try, the oldest first; new ones wait behind them;
+//! 2. those that can still be answered in time, the newest first;
+//! 3. late ones, when the target would have nothing to do otherwise, the oldest first;
+//! 4. those whose callers are probably gone, when nothing else waits.
+//!
+//! A queue that only served the oldest would do all its work for callers that have just gone, once its wait is as
+//! long as their patience, and never recover: each of them would be back with another try.
 
-use std::collections::VecDeque;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use crate::patience::{LONGEST, Patience};
 use crate::{Envelope, FlowTuple, Timestamp};
 
-/// A caller waits 1.4 s for the answer to its opening packet; after this time it would come too late.
-const LONGEST: Duration = Duration::from_millis(1200);
-/// Opening packets that wait at most: a target of 5 slots takes 120 of 50 ms in the longest wait.
-const CAPACITY: usize = 120;
+/// A packet goes first from this long before its caller may be gone. 50 to 500 ms were compared in virtual time
+/// (docs/design/further.md): with less, requests are lost that this saves, with more, more are late.
+const URGENT_WITHIN: Duration = Duration::from_millis(150);
+/// A copy that has not come this long after it was due was not sent: its caller has gone.
+const COPY_SLACK: Duration = Duration::from_millis(60);
+/// Opening packets that wait at most, some 200 bytes each. None is refused for the sake of another before its caller
+/// gives up: that would only use up one of its tries.
+const CAPACITY: usize = 1000;
 
 /// How long a caller has waited when it sends a copy of its opening packet.
 const COPIES_AFTER: [Duration; 3] =
@@ -25,6 +39,79 @@
     now - COPIES_AFTER[i]
 }
 
+/// What the wait of an opening packet is measured by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitTerms {
+    /// Since when its caller waits, in this try.
+    pub since: Timestamp,
+    /// Time from then on that it may spend waiting and behind the requests of the target to be answered in time.
+    pub limit: Duration,
+    /// How long callers of its route are assumed to wait.
+    pub patience: Duration,
+    /// Copies of it that have come.
+    pub copies: u32,
+    /// Its caller has waited on another flow for the same request before: for how long is not known, but the
+    /// answer is late, and the caller may be about to give up.
+    pub late: bool,
+}
+
+/// How much the wait of an opening packet matters at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// Its caller may soon end this try.
+    Urgent,
+    /// It has time left.
+    Waiting,
+    /// Its caller is probably gone.
+    Doubtful,
+}
+
+impl WaitTerms {
+    /// Returns the terms of a packet that came at `now` after so many others.
+    #[must_use]
+    pub fn new(copies: u32, limit: Duration, now: Timestamp) -> Self {
+        let since = waiting_since(copies, now);
+        Self { since, limit, patience: LONGEST, copies, late: false }
+    }
+
+    /// Sets how long callers of the route are assumed to wait.
+    #[must_use]
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+
+    /// Sets whether the caller has waited on another flow before.
+    #[must_use]
+    pub fn late(mut self, late: bool) -> Self {
+        self.late = late;
+        self
+    }
+
+    /// Returns whether the answer can still come in time behind `ahead`, the work of the target.
+    #[must_use]
+    pub fn in_time(&self, ahead: Duration, now: Timestamp) -> bool {
+        !self.late && now.since(self.since) + ahead <= self.limit
+    }
+
+    /// Returns how the packet stands if callers wait for `patience`.
+    fn standing(&self, patience: Duration, now: Timestamp) -> Standing {
+        let waited = now.since(self.since);
+        if waited >= patience || self.copy_is_missing(waited) {
+            Standing::Doubtful
+        } else if waited + URGENT_WITHIN >= patience || self.late && waited < URGENT_WITHIN {
+            Standing::Urgent
+        } else {
+            Standing::Waiting
+        }
+    }
+
+    fn copy_is_missing(&self, waited: Duration) -> bool {
+        let next = usize::try_from(self.copies).unwrap_or(usize::MAX).saturating_add(1);
+        COPIES_AFTER.get(next).is_some_and(|due| waited >= *due + COPY_SLACK)
+    }
+}
+
 /// An opening packet that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitingOpen {
@@ -34,16 +121,16 @@
     pub packet: Vec<u8>,
     /// What came with it.
     pub envelope: Envelope,
-    /// Time that it may spend here and behind the requests of the target to be served in time.
-    pub limit: Duration,
-    /// Since when its caller waits.
-    pub since: Timestamp,
+    /// What its wait is measured by.
+    pub terms: WaitTerms,
 }
 
-/// The opening packets that wait at one agent, oldest first.
+/// The opening packets that wait at one agent.
 #[derive(Debug, Default)]
 pub struct OpenQueue {
-    waiting: VecDeque<WaitingOpen>,
+    waiting: Vec<WaitingOpen>,
+    /// How long the callers of each route wait.
+    patience: HashMap<SocketAddrV4, Patience>,
 }
 
 impl OpenQueue {
@@ -53,16 +140,47 @@
         self.waiting.iter().any(|open| open.flow == *flow)
     }
 
-    /// Lets a packet wait, unless another copy of it does; returns the one that must be refused for it, if there are
-    /// too many.
+    /// Lets a packet wait; returns it if too many wait already.
     pub fn push(&mut self, open: WaitingOpen) -> Option<WaitingOpen> {
         if self.contains(&open.flow) {
+            self.note_copy(&open.flow, open.terms.copies);
             return None;
         }
-        let younger = self.waiting.iter().rev().take_while(|other| other.since > open.since);
-        let at = self.waiting.len() - younger.count();
-        self.waiting.insert(at, open);
-        if self.waiting.len() > CAPACITY { self.waiting.pop_front() } else { None }
+        if self.waiting.len() >= CAPACITY {
+            return Some(open);
+        }
+        self.waiting.push(open);
+        None
+    }
+
+    /// Notes that a copy of the opening packet of `flow` has come; returns whether one waits here.
+    pub fn note_copy(&mut self, flow: &FlowTuple, copies: u32) -> bool {
+        let waiting = self.waiting.iter_mut().find(|open| open.flow == *flow);
+        let Some(open) = waiting else { return false };
+        open.terms.copies = open.terms.copies.max(copies);
+        true
+    }
+
+    /// Notes what became of an opening packet of `route` that the target took after `waited`.
+    pub fn note_outcome(
+        &mut self,
+        route: SocketAddrV4,
+        waited: Duration,
+        opened: bool,
+        now: Timestamp,
+    ) {
+        self.patience.entry(route).or_default().note(waited, opened, now);
+    }
+
+    /// Returns how long the caller of `flow` waits for the answer to its opening packet.
+    #[must_use]
+    pub fn patience(&self, flow: &FlowTuple, terms: &WaitTerms, now: Timestamp) -> Duration {
+        let learned = self.patience.get(&flow.route());
+        learned.map_or(terms.patience, |learned| learned.refine(terms.patience, now))
+    }
+
+    fn standing(&self, open: &WaitingOpen, now: Timestamp) -> Standing {
+        open.terms.standing(self.patience(&open.flow, &open.terms, now), now)
     }
 
     /// Forgets the opening packet of `flow`: a copy of it has gone another way.
@@ -70,25 +188,53 @@
         self.waiting.retain(|open| open.flow != *flow);
     }
 
+    /// Returns whether a packet waits whose caller may soon end its try.
+    #[must_use]
+    pub fn any_urgent(&self, now: Timestamp) -> bool {
+        self.waiting.iter().any(|open| self.standing(open, now) == Standing::Urgent)
+    }
+
     /// Returns the next packet that there is room for: behind `ahead`, the time that the target's requests take, or
-    /// late, if the target is `idle` in part.
-    pub fn take(&mut self, ahead: Duration, idle: bool, now: Timestamp) -> Option<WaitingOpen> {
-        let in_time = |open: &WaitingOpen| now.since(open.since) + ahead <= open.limit;
-        let newest = self.waiting.iter().rposition(in_time);
-        let next = newest.or_else(|| (idle && !self.waiting.is_empty()).then_some(0))?;
-        self.waiting.remove(next)
+    /// at once, if the target has `room`.
+    pub fn take(&mut self, ahead: Duration, room: bool, now: Timestamp) -> Option<WaitingOpen> {
+        let next = match self.soonest(Standing::Urgent, now) {
+            Some(urgent) => room.then_some(urgent),
+            None => self.newest_in_time(ahead, now).or_else(|| {
+                let late = || self.soonest(Standing::Waiting, now);
+                room.then(|| late().or_else(|| self.newest()))?
+            }),
+        };
+        next.map(|i| self.waiting.swap_remove(i))
+    }
+
+    /// Returns the packet of this standing whose caller waits the shortest time more.
+    fn soonest(&self, standing: Standing, now: Timestamp) -> Option<usize> {
+        let all = self.waiting.iter().enumerate();
+        let such = all.filter(|(_, open)| self.standing(open, now) == standing);
+        let patience = |open: &WaitingOpen| self.patience(&open.flow, &open.terms, now);
+        let gone = |open: &WaitingOpen| open.terms.since + patience(open);
+        such.min_by_key(|(_, open)| gone(open)).map(|(i, _)| i)
+    }
+
+    fn newest_in_time(&self, ahead: Duration, now: Timestamp) -> Option<usize> {
+        let in_time = self.waiting.iter().enumerate().filter(|(_, o)| o.terms.in_time(ahead, now));
+        in_time.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
+    }
+
+    fn newest(&self) -> Option<usize> {
+        let all = self.waiting.iter().enumerate();
+        all.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
     }
 
-    /// Returns the packets that have waited so long that their callers have given up, or are about to.
-    pub fn take_expired(&mut self, now: Timestamp) -> Vec<WaitingOpen> {
-        let expired = self.waiting.iter().take_while(|open| now.since(open.since) >= LONGEST);
-        let n = expired.count();
-        self.waiting.drain(..n).collect()
+    /// Returns the packets whose callers have gone for certain, or are about to before an answer could reach them.
+    pub fn take_lost(&mut self, now: Timestamp) -> Vec<WaitingOpen> {
+        let lost = |open: &mut WaitingOpen| now.since(open.terms.since) >= LONGEST;
+        self.waiting.extract_if(.., lost).collect()
     }
 
-    /// Returns all packets: there is nothing to wait for here any more.
-    pub fn take_all(&mut self) -> Vec<WaitingOpen> {
-        self.waiting.drain(..).collect()
+    /// Returns any packet: there is nothing to wait for here any more.
+    pub fn take_any(&mut self) -> Option<WaitingOpen> {
+        self.waiting.pop()
     }
 
     /// Returns the number of packets that wait.
--- a/crates/dillmill-core/src/route_table.rs
+++ b/crates/dillmill-core/src/route_table.rs
@@ -17,6 +17,10 @@
     pub former: Vec<ServiceTag>,
     /// Time within which an answer is of full use to callers.
     pub latency_aim: Option<Duration>,
+    /// Time after which callers give a request up.
+    pub timeout: Option<Duration>,
+    /// Callers may repeat a request after any failure.
+    pub repeatable: bool,
 }
 
 impl RouteEntry {
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -148,6 +148,13 @@
         Fit::Ours
     }
 
+    /// Returns whether the caller has opened a flow that the target has accepted.
+    #[must_use]
+    pub fn was_opened(&self, flow: &FlowTuple) -> Option<bool> {
+        let known = self.flows.peek(flow)?;
+        known.target_seq.map(|_| known.stage != Stage::Opening)
+    }
+
     /// Notes a sign of life of the target.
     pub fn heard(&mut self) {
         self.unheard = None;
--- /dev/null
+++ b/crates/dillmill-core/tests/patiences.rs
@@ -0,0 +1,78 @@
+//! How long callers wait, learned from those that did not.
+
+use std::time::Duration;
+
+use dillmill_core::Timestamp;
+use dillmill_core::patience::{Patience, assumed};
+use rstest::rstest;
+
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn noted(outcomes: &[(u64, bool)]) -> Patience {
+    let mut patience = Patience::default();
+    for (waited, opened) in outcomes {
+        patience.note(ms(*waited), *opened, NOW);
+    }
+    patience
+}
+
+const ASSUMED: Duration = ms(1360);
+
+#[rstest]
+#[case::unknown(None, false, 1360)]
+#[case::run_once(Some(2500), false, 1360)]
+#[case::run_once_soon(Some(900), false, 860)]
+#[case::repeatable(Some(2400), true, 760)]
+#[case::long_and_repeatable(Some(8000), true, 1360)]
+fn assumed_before_any_was_seen(
+    #[case] timeout: Option<u64>,
+    #[case] repeatable: bool,
+    #[case] waits: u64,
+) {
+    assert_eq!(assumed(timeout.map(ms), repeatable), ms(waits));
+}
+
+#[test]
+fn nothing_learned_at_first() {
+    assert_eq!(Patience::default().refine(ASSUMED, NOW), ASSUMED);
+    assert_eq!(noted(&[(10, true), (700, true), (1300, true)]).refine(ASSUMED, NOW), ASSUMED);
+}
+
+#[test]
+fn limit_where_most_are_gone() {
+    let seen = [(500, true), (840, false), (850, false), (860, false), (810, true), (1200, false)];
+    assert_eq!(noted(&seen).refine(ASSUMED, NOW), ms(800));
+}
+
+/// Callers wait longer than was assumed.
+#[test]
+fn more_patience_is_learned() {
+    let seen = [(850, true), (870, true), (890, true), (1210, false), (1220, false), (1230, false)];
+    assert_eq!(noted(&seen).refine(ms(700), NOW), ms(900));
+    assert_eq!(noted(&seen).refine(ASSUMED, NOW), ms(1200));
+}
+
+/// Some callers begin a shorter try; while most of them are still there, the wait is worth it.
+#[test]
+fn minority_does_not_count() {
+    let some = [(600, false), (610, false), (620, false), (630, true), (640, true), (650, true)];
+    assert_eq!(noted(&some).refine(ASSUMED, NOW), ASSUMED);
+}
+
+#[test]
+fn single_losses_do_not_count() {
+    assert_eq!(noted(&[(300, false), (310, false)]).refine(ASSUMED, NOW), ASSUMED);
+}
+
+/// What is no longer tried is tried again after a while.
+#[test]
+fn old_losses_fade() {
+    let mut patience = noted(&[(840, false), (850, false), (860, false)]);
+    assert_eq!(patience.refine(ASSUMED, NOW), ms(800));
+    patience.note(ms(10), true, NOW + ms(2100));
+    assert_eq!(patience.refine(ASSUMED, NOW + ms(2100)), ASSUMED);
+}
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -9,8 +9,8 @@
 use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, CallerPackets, Envelope, Errand, FlowGate, FlowTuple, OpenQueue, PauseWatch,
-    RouteTable, Segment, SegmentKind, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
+    AgentTable, CallerPackets, Envelope, Errand, FlowGate, FlowTuple, PauseWatch, RouteTable,
+    Segment, SegmentKind, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeHandle, View, Views};
 use dillmill_platform::packet::{self, Sender};
@@ -92,8 +92,6 @@
     /// Packets to ask the target with which flows it holds.
     kept: CallerPackets,
     fitness: Fitness,
-    /// Opening packets that wait for the target.
-    opens: OpenQueue,
     /// The others have been told that no flow is here.
     empty: bool,
     pauses: PauseWatch,
@@ -135,7 +133,6 @@
             runs: TargetRuns::new(settings.heartbeat_every),
             kept: CallerPackets::default(),
             fitness: Fitness::Sound,
-            opens: OpenQueue::default(),
             empty: false,
             pauses: PauseWatch::new(TICK * 2),
             stopping: None,
@@ -168,7 +165,10 @@
                 self.take_view(&view);
             }
             match event {
-                Event::FromNetwork(buf) => self.take_from_network(buf, now).await,
+                Event::FromNetwork(buf) => {
+                    self.take_from_network(buf, now).await;
+                    self.serve_waiting(now).await;
+                }
                 Event::FromTarget(buf) => self.take_from_target(buf, now).await,
                 Event::Flow(from, message) => self.message(from, message, now),
                 Event::Call(call) => self.call(call, now).await,
@@ -254,11 +254,7 @@
                 self.log_delivery(seg, mark, now);
                 self.kept.keep(seg, &packet, now);
                 self.deliver(packet, mark).await;
-                if let Some(balancer) = tell {
-                    let (owner, data) = (self.handle.process, self.gate.data());
-                    let message = FlowMessage::Owner { flow: seg.flow, owner, data };
-                    self.handle.send(balancer, Message::Flow(message));
-                }
+                self.tell(tell, &seg.flow);
             }
             Verdict::Try { onward } => {
                 self.deliver(packet.clone(), 0).await;
@@ -276,7 +272,10 @@
                 });
                 self.pass(&envelope, packet, to).await;
             }
-            Verdict::Wait { limit, envelope } => self.wait(seg, packet, envelope, limit, now),
+            Verdict::Wait { terms, envelope, tell } => {
+                self.wait(seg, packet, envelope, terms, now);
+                self.tell(tell, &seg.flow);
+            }
             Verdict::Missing { origin } => {
                 self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
                 // Only a caller that waits for something needs to know.
@@ -295,6 +294,14 @@
         }
     }
 
+    /// Tells a balancer that the packets of `flow` are to come here.
+    fn tell(&self, balancer: Option<SocketAddrV4>, flow: &FlowTuple) {
+        let Some(balancer) = balancer else { return };
+        let (owner, data) = (self.handle.process, self.gate.data());
+        let message = FlowMessage::Owner { flow: *flow, owner, data };
+        self.handle.send(balancer, Message::Flow(message));
+    }
+
     fn refuse(&mut self, flow: &FlowTuple, verdict: &Verdict, now: Timestamp) {
         let Verdict::Refuse { reason, origin, placed } = *verdict else { return };
         self.counters.refused.inc();
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -59,7 +59,7 @@
     pub(super) fn send_reports(&mut self, now: Timestamp) {
         let report = self.report(now);
         self.counters.requests.set(i64::from(report.in_use) + i64::from(report.queued));
-        self.counters.waiting.set(i64::try_from(self.opens.len()).unwrap_or(i64::MAX));
+        self.counters.waiting.set(i64::try_from(self.gate.waiting()).unwrap_or(i64::MAX));
         self.handle.metrics.flows.set(i64::from(report.flows));
         self.origins.retain(|_, origin| now.since(origin.last_flow) < REPORT_WHILE);
         let due: Vec<SocketAddrV4> = self
--- a/crates/dillmill-settings/src/route_tree.rs
+++ b/crates/dillmill-settings/src/route_tree.rs
@@ -24,6 +24,8 @@
     pub address: SocketAddrV4,
     /// Services with their shares of new flows.
     pub shares: Vec<(ServiceName, Weight)>,
+    /// Callers may repeat a request after any failure.
+    pub repeatable: bool,
     /// Time for a request on the route.
     pub timeout: Option<Interval>,
     /// Time within which an answer is of full use.
@@ -107,7 +109,15 @@
         let entry = |route: &Route| {
             let shares = route.shares.iter().map(|(name, weight)| (name.into(), *weight)).collect();
             let latency_aim = route.latency_aim.map(Interval::duration);
-            (route.address, RouteEntry { shares, former: Vec::new(), latency_aim })
+            let timeout = route.timeout.map(Interval::duration);
+            let entry = RouteEntry {
+                shares,
+                former: Vec::new(),
+                latency_aim,
+                timeout,
+                repeatable: route.repeatable,
+            };
+            (route.address, entry)
         };
         RouteTable::new(self.revision, self.routes.iter().map(entry))
     }
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -262,6 +262,7 @@
             address: self.route(),
             shares: vec![(service, Weight(1))],
             timeout: None,
+            repeatable: false,
             latency_aim: None,
         };
         let idle = Interval::from_millis(15_000);
