--- a/crates/dillmill-agent/src/ledger.rs
+++ b/crates/dillmill-agent/src/ledger.rs
@@ -39,7 +39,7 @@
 enum Input {
     Enter(ClaimKey, flume::Sender<Entry>),
     Leave(ClaimKey, Outcome),
-    Ring(flume::Sender<(Ring, usize)>),
+    Ring(flume::Sender<(Ring, Epoch)>),
     Adopt(Ring, flume::Sender<bool>),
     Authority(ClaimKey, flume::Sender<Option<RingMember>>),
     CopyKeeper(ClaimKey, flume::Sender<Option<RingMember>>),
@@ -106,9 +106,9 @@
         let _ = self.tx.send(Input::Leave(key, outcome));
     }
 
-    /// Returns the ring in force here and how many past rings may still have live records.
-    pub async fn ring(&self) -> (Ring, usize) {
-        self.call(Input::Ring, (Ring::default(), 0)).await
+    /// Returns the ring in force here and the epoch from which on rings may still have live records.
+    pub async fn ring(&self) -> (Ring, Epoch) {
+        self.call(Input::Ring, (Ring::default(), Epoch::default())).await
     }
 
     /// Takes a ring into force if it is newer.
@@ -232,7 +232,7 @@
             }
             Input::Leave(key, outcome) => self.leave(key, &outcome),
             Input::Ring(tx) => {
-                let _ = tx.send((self.ledger.ring().clone(), self.ledger.live_past(now)));
+                let _ = tx.send((self.ledger.ring().clone(), self.ledger.live_since(now)));
             }
             Input::Adopt(ring, tx) => {
                 let newer = self.ledger.adopt(ring, now);
--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -82,13 +82,13 @@
 async fn change(cx: &AgentContext, store: &RingStore, lost: &[ProcessId]) {
     let Ok((present, _)) = store.get().await else { return };
     cx.ledger.adopt(present).await;
-    let (_, live_past) = cx.ledger.ring().await;
+    let (_, live_since) = cx.ledger.ring().await;
     let me = cx.me;
     let changed = store
         .change(|ring| {
             let gone: Vec<ProcessId> = lost.iter().copied().filter(|p| ring.contains(*p)).collect();
             let needed = !ring.contains(me.process) || !gone.is_empty();
-            needed.then(|| ring.changed(&[me], &gone, live_past))
+            needed.then(|| ring.changed(&[me], &gone, live_since))
         })
         .await;
     let Ok((ring, by_us)) = changed else { return };
@@ -106,10 +106,10 @@
 /// Leaves the ring for good: first in force at the others, then passes on all records.
 pub(crate) async fn leave(cx: &AgentContext, store: &RingStore) {
     for _ in 0..HAND_OVER_ATTEMPTS {
-        let (_, live_past) = cx.ledger.ring().await;
+        let (_, live_since) = cx.ledger.ring().await;
         let me = cx.me.process;
         let changed = store
-            .change(|ring| ring.contains(me).then(|| ring.changed(&[], &[me], live_past)))
+            .change(|ring| ring.contains(me).then(|| ring.changed(&[], &[me], live_since)))
             .await;
         if let Ok((ring, _)) = changed
             && !ring.contains(me)
--- a/crates/dillmill-core/src/claims/ledger.rs
+++ b/crates/dillmill-core/src/claims/ledger.rs
@@ -93,12 +93,13 @@
         true
     }
 
-    /// Returns how many past rings may still have live records, by this agent's own time.
+    /// Returns the epoch from which on rings may still have live records, by this agent's own time.
     ///
     /// A ring that was replaced before this agent looked counts from when it looked.
     #[must_use]
-    pub fn live_past(&self, now: Timestamp) -> usize {
-        self.ring.past.iter().take_while(|past| self.is_live(past, now)).count()
+    pub fn live_since(&self, now: Timestamp) -> Epoch {
+        let live = self.ring.past.iter().take_while(|past| self.is_live(past, now));
+        live.last().map_or(self.ring.epoch, |past| past.epoch)
     }
 
     fn is_live(&self, past: &PastRing, now: Timestamp) -> bool {
--- a/crates/dillmill-core/src/claims/ring.rs
+++ b/crates/dillmill-core/src/claims/ring.rs
@@ -60,12 +60,13 @@
 impl Ring {
     /// Returns the next ring, with `add` and without `remove`.
     ///
-    /// `keep_past` is the number of past rings that may still have live records.
+    /// Past rings from `live_since` on may still have live records. An epoch, not a number of rings: another agent
+    /// may have changed the ring since the caller looked.
     #[must_use]
-    pub fn changed(&self, add: &[RingMember], remove: &[ProcessId], keep_past: usize) -> Self {
+    pub fn changed(&self, add: &[RingMember], remove: &[ProcessId], live_since: Epoch) -> Self {
         let mut next = self.clone();
+        next.past.retain(|past| past.epoch >= live_since);
         next.past.insert(0, PastRing { epoch: self.epoch, members: self.members.clone() });
-        next.past.truncate(keep_past + 1);
         next.epoch = Epoch(self.epoch.0 + 1);
         next.members.retain(|m| !remove.contains(&m.process));
         for member in add {
@@ -85,7 +86,7 @@
     /// ring: until then nobody else has copies, and its loss would leave every key unknown.
     #[must_use]
     pub fn with_covered(&self, process: ProcessId) -> Self {
-        let mut next = self.changed(&[], &[], self.past.len());
+        let mut next = self.changed(&[], &[], Epoch::default());
         next.past.retain(|past| !past.is_alone(process));
         next
     }
@@ -93,7 +94,7 @@
     /// Returns this ring with `process` marked as having passed on its records.
     #[must_use]
     pub fn with_handed_over(&self, process: ProcessId) -> Self {
-        let mut next = self.changed(&[], &[process], self.past.len());
+        let mut next = self.changed(&[], &[process], Epoch::default());
         next.handed_over.insert(process);
         next
     }
--- a/crates/dillmill-core/tests/claim_safety.rs
+++ b/crates/dillmill-core/tests/claim_safety.rs
@@ -99,7 +99,7 @@
         self.next += 1;
         let mut ledger = ClaimLedger::new(me, WINDOW);
         ledger.adopt(self.ring.clone(), now());
-        let live = ledger.live_past(now());
+        let live = ledger.live_since(now());
         self.ring = self.ring.changed(&[me], &[], live);
         ledger.adopt(self.ring.clone(), now());
         self.agents.insert(me.process, Agent { ledger, frozen: false });
@@ -110,7 +110,7 @@
         let Some(by) = self.awake(process) else { return };
         let agent = self.agents.get_mut(&by).unwrap();
         agent.ledger.adopt(self.ring.clone(), now());
-        let live = agent.ledger.live_past(now());
+        let live = agent.ledger.live_since(now());
         self.ring = self.ring.changed(&[], &[process], live);
         agent.ledger.adopt(self.ring.clone(), now());
     }
@@ -128,7 +128,7 @@
         let next = {
             let ledger = &mut self.agents.get_mut(&process).unwrap().ledger;
             ledger.adopt(self.ring.clone(), now());
-            let live = ledger.live_past(now());
+            let live = ledger.live_since(now());
             let next = self.ring.changed(&[], &[process], live);
             ledger.adopt(next.clone(), now());
             next
@@ -433,7 +433,7 @@
 }
 
 fn ring_of(n: u64) -> Ring {
-    (1..=n).fold(Ring::default(), |ring, i| ring.changed(&[member(i)], &[], 0))
+    (1..=n).fold(Ring::default(), |ring, i| ring.changed(&[member(i)], &[], ring.epoch))
 }
 
 fn ledger(n: u64, ring: &Ring) -> ClaimLedger {
@@ -486,7 +486,7 @@
     let ring = ring_of(3);
     let mut frozen = ledger(2, &ring);
     let k = key_of(&ring, 1);
-    let newer = ring.changed(&[], &[ProcessId(2)], 1);
+    let newer = ring.changed(&[], &[ProcessId(2)], Epoch::default());
     frozen.adopt(newer, now());
     assert_eq!(frozen.begin(k, ring.epoch, now()), Err(BeginError::StaleGrant));
 }
@@ -494,7 +494,7 @@
 #[test]
 fn lone_agent_lost_means_unknown() {
     let ring = ring_of(1);
-    let next = ring.changed(&[member(2), member(3)], &[ProcessId(1)], 1);
+    let next = ring.changed(&[member(2), member(3)], &[ProcessId(1)], Epoch::default());
     let mut authority = ClaimLedger::new(member(2), WINDOW);
     authority.adopt(next.clone(), now());
     let k = (0..=255).map(key).find(|k| authority.authority(*k) == Some(member(2))).unwrap();
@@ -513,7 +513,7 @@
     leaver.claim(k, ring.epoch, member(1), now());
     leaver.begin(k, ring.epoch, now()).unwrap();
     leaver.end(k, Phase::Done, now());
-    let next = ring.changed(&[], &[ProcessId(1)], 1);
+    let next = ring.changed(&[], &[ProcessId(1)], Epoch::default());
     leaver.adopt(next.clone(), now());
     let parts = leaver.hand_over(true);
     let heir = &leaver.authority(k).unwrap();
@@ -534,8 +534,21 @@
     let mut ledger = ClaimLedger::new(member(1), WINDOW);
     let first = ring_of(2);
     ledger.adopt(first.clone(), now());
-    let second = first.changed(&[member(3)], &[], 1);
-    ledger.adopt(second, now());
-    assert!(ledger.live_past(now()) > 0);
-    assert_eq!(ledger.live_past(now() + WINDOW), 0);
+    let second = first.changed(&[member(3)], &[], Epoch::default());
+    ledger.adopt(second.clone(), now());
+    assert!(ledger.live_since(now()) < second.epoch);
+    assert_eq!(ledger.live_since(now() + WINDOW), second.epoch);
+}
+
+/// Found by a scenario in which six agents start at once: another agent had changed the ring between two reads, and
+/// a number of rings to keep, counted in the earlier one, dropped a live one of the later.
+#[test]
+fn ring_changed_by_two_at_once_keeps_live_ones() {
+    let alone = ring_of(1);
+    let seen = alone.changed(&[member(2)], &[], Epoch::default());
+    let meanwhile = seen.changed(&[member(3)], &[], Epoch::default());
+    let mut ledger = ClaimLedger::new(member(4), WINDOW);
+    ledger.adopt(seen, now());
+    let next = meanwhile.changed(&[member(4)], &[], ledger.live_since(now()));
+    assert!(next.past.iter().any(|past| past.is_alone(ProcessId(1))), "{:?}", next.past);
 }
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -452,11 +452,8 @@
                 return Ok(());
             }
             if started.elapsed() > READY_LIMIT {
-                let logs = self.processes.values().fold(String::new(), |mut out, p| {
-                    let _ = writeln!(out, "--- {}\n{}", p.name(), tail(&p.log()));
-                    out
-                });
-                return Err(StandinError::new("wait", format!("{}\n{logs}", lacking.join("; "))));
+                let what = format!("{}\n{}", lacking.join("; "), self.last_logs());
+                return Err(StandinError::new("wait", what));
             }
             compio::time::sleep(POLL).await;
         }
@@ -473,7 +470,8 @@
         for service in self.spec.services.iter().filter(|service| service.targets > 1) {
             while !self.ring_formed(&service.name).await? {
                 if started.elapsed() > READY_LIMIT {
-                    let what = format!("the ring of {} does not form", service.name);
+                    let name = &service.name;
+                    let what = format!("the ring of {name} does not form\n{}", self.last_logs());
                     return Err(StandinError::new("wait", what));
                 }
                 compio::time::sleep(POLL).await;
@@ -482,6 +480,14 @@
         Ok(())
     }
 
+    /// Returns the last lines of each process's log.
+    fn last_logs(&self) -> String {
+        self.processes.values().fold(String::new(), |mut out, p| {
+            let _ = writeln!(out, "--- {}\n{}", p.name(), tail(&p.log()));
+            out
+        })
+    }
+
     async fn ring_formed(&self, service: &str) -> Result<bool, StandinError> {
         for name in self.members().into_iter().filter(|name| name.starts_with(service)) {
             if self.has_event(&name, "records passed on, alone before").await? {
@@ -676,7 +682,7 @@
 
 fn tail(log: &str) -> String {
     let lines: Vec<&str> = log.lines().collect();
-    lines[lines.len().saturating_sub(5)..].iter().fold(String::new(), |mut out, line| {
+    lines[lines.len().saturating_sub(40)..].iter().fold(String::new(), |mut out, line| {
         let _ = writeln!(out, "{line}");
         out
     })
--- a/crates/dillmill-standins/src/slopes.rs
+++ b/crates/dillmill-standins/src/slopes.rs
@@ -301,7 +301,8 @@
 
 fn claims() -> Value {
     let ring_member = |n: u32| RingMember { process: ProcessId(u64::from(n)), control: addr(n) };
-    let ring = (1..=9).fold(Ring::default(), |ring, n| ring.changed(&[ring_member(n)], &[], 0));
+    let ring =
+        (1..=9).fold(Ring::default(), |ring, n| ring.changed(&[ring_member(n)], &[], ring.epoch));
     let ring = Ring { past: Vec::new(), ..ring };
     let now = Timestamp::from_millis(1000);
     let mut ledger = ClaimLedger::new(ring_member(1), Duration::from_mins(10));
