--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -132,7 +132,7 @@
             sees_all: false,
             flows: TargetFlows::default(),
             directory: FlowDirectory::default(),
-            opens: OpenQueue::default(),
+            opens: OpenQueue::new(now),
             taken: VecDeque::new(),
             trials: vec![None; TRIALS],
             next_trial: 0,
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -101,8 +101,10 @@
     fn wait_terms(&self, arrival: Arrival<'_>, copies: u32) -> WaitTerms {
         let route = arrival.known.routes.get(arrival.seg.flow.route());
         let (timeout, repeatable) = route.map_or((None, false), |r| (r.timeout, r.repeatable));
+        let patience = patience::assumed(timeout, repeatable);
         WaitTerms::new(copies, self.time_limit(arrival), arrival.now)
-            .patience(patience::assumed(timeout, repeatable))
+            .patience(patience)
+            .timeout(timeout.unwrap_or(patience))
     }
 
     /// Returns the time that a request may wait for its answer to come within the aim of its route.
--- a/crates/dillmill-core/src/open_queue.rs
+++ b/crates/dillmill-core/src/open_queue.rs
@@ -4,7 +4,9 @@
 //! packet waits is served as soon as there is room. A request that nobody serves is worse than a late one, so the
 //! order is:
 //!
-//! 1. those whose callers may soon end this try, the oldest first; new ones wait behind them;
+//! 1. those whose callers may soon end this try, the oldest first; new ones wait behind them. This only once the trouble
+//!    has lasted so long that some callers may have no other try left: before, one that ends its try comes back with
+//!    a new packet, which is the newest then, and is served no later;
 //! 2. those that can still be answered in time, the newest first;
 //! 3. late ones, when the target would have nothing to do otherwise, the oldest first;
 //! 4. those whose callers are probably gone, when nothing else waits.
@@ -22,6 +24,13 @@
 /// A packet goes first from this long before its caller may be gone. 50 to 500 ms were compared in virtual time
 /// (docs/design/further.md): with less, requests are lost that this saves, with more, more are late.
 const URGENT_WITHIN: Duration = Duration::from_millis(150);
+/// What an agent that starts adds to the age of the trouble that it finds: callers may have waited meanwhile, and a
+/// process that was killed, or lost power, is back after a second or more.
+const OUTAGE: Duration = Duration::from_secs(1);
+/// A queue that begins to fill within this time after the start of its agent does so because of the outage before.
+const AFTER_START: Duration = Duration::from_secs(2);
+/// A queue that has been empty for this long has nothing to do with the next one.
+const CALM: Duration = Duration::from_secs(1);
 /// A copy that has not come this long after it was due was not sent: its caller has gone.
 const COPY_SLACK: Duration = Duration::from_millis(60);
 /// Opening packets that wait at most, some 200 bytes each. None is refused for the sake of another before its caller
@@ -48,6 +57,8 @@
     pub limit: Duration,
     /// How long callers of its route are assumed to wait.
     pub patience: Duration,
+    /// After what time they give the request up, with all its tries.
+    pub timeout: Duration,
     /// Copies of it that have come.
     pub copies: u32,
     /// Its caller has waited on another flow for the same request before: for how long is not known, but the
@@ -71,7 +82,7 @@
     #[must_use]
     pub fn new(copies: u32, limit: Duration, now: Timestamp) -> Self {
         let since = waiting_since(copies, now);
-        Self { since, limit, patience: LONGEST, copies, late: false }
+        Self { since, limit, patience: LONGEST, timeout: LONGEST, copies, late: false }
     }
 
     /// Sets how long callers of the route are assumed to wait.
@@ -81,6 +92,13 @@
         self
     }
 
+    /// Sets after what time callers give a request up.
+    #[must_use]
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
     /// Sets whether the caller has waited on another flow before.
     #[must_use]
     pub fn late(mut self, late: bool) -> Self {
@@ -94,12 +112,13 @@
         !self.late && now.since(self.since) + ahead <= self.limit
     }
 
-    /// Returns how the packet stands if callers wait for `patience`.
-    fn standing(&self, patience: Duration, now: Timestamp) -> Standing {
+    /// Returns how the packet stands if callers wait for `patience` and `trouble` has lasted.
+    fn standing(&self, patience: Duration, trouble: Duration, now: Timestamp) -> Standing {
         let waited = now.since(self.since);
+        let ends = waited + URGENT_WITHIN >= patience && trouble + patience >= self.timeout;
         if waited >= patience || self.copy_is_missing(waited) {
             Standing::Doubtful
-        } else if waited + URGENT_WITHIN >= patience || self.late && waited < URGENT_WITHIN {
+        } else if ends || self.late && waited < URGENT_WITHIN {
             Standing::Urgent
         } else {
             Standing::Waiting
@@ -126,14 +145,23 @@
 }
 
 /// The opening packets that wait at one agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OpenQueue {
     waiting: Vec<WaitingOpen>,
+    started: Timestamp,
+    /// When the first packet waited, and the last one did.
+    crowded: Option<(Timestamp, Timestamp)>,
     /// How long the callers of each route wait.
     patience: HashMap<SocketAddrV4, Patience>,
 }
 
 impl OpenQueue {
+    /// Creates the queue of an agent that starts at `now`.
+    #[must_use]
+    pub fn new(now: Timestamp) -> Self {
+        Self { waiting: Vec::new(), started: now, crowded: None, patience: HashMap::new() }
+    }
+
     /// Returns whether the opening packet of `flow` waits here.
     #[must_use]
     pub fn contains(&self, flow: &FlowTuple) -> bool {
@@ -141,7 +169,12 @@
     }
 
     /// Lets a packet wait; returns it if too many wait already.
-    pub fn push(&mut self, open: WaitingOpen) -> Option<WaitingOpen> {
+    pub fn push(&mut self, open: WaitingOpen, now: Timestamp) -> Option<WaitingOpen> {
+        let since = match self.crowded {
+            Some((since, last)) if now.since(last) < CALM => since,
+            _ => now,
+        };
+        self.crowded = Some((since, now));
         if self.contains(&open.flow) {
             self.note_copy(&open.flow, open.terms.copies);
             return None;
@@ -180,7 +213,15 @@
     }
 
     fn standing(&self, open: &WaitingOpen, now: Timestamp) -> Standing {
-        open.terms.standing(self.patience(&open.flow, &open.terms, now), now)
+        let patience = self.patience(&open.flow, &open.terms, now);
+        open.terms.standing(patience, self.trouble(now), now)
+    }
+
+    /// Returns for how long callers may have waited in vain.
+    fn trouble(&self, now: Timestamp) -> Duration {
+        let Some((since, _)) = self.crowded else { return Duration::ZERO };
+        let after_start = since.since(self.started) < AFTER_START;
+        now.since(since) + if after_start { OUTAGE } else { Duration::ZERO }
     }
 
     /// Forgets the opening packet of `flow`: a copy of it has gone another way.
--- a/crates/dillmill-core/tests/open_queues.rs
+++ b/crates/dillmill-core/tests/open_queues.rs
@@ -32,9 +32,9 @@
 }
 
 fn queue(opens: &[(u16, u64)]) -> OpenQueue {
-    let mut queue = OpenQueue::default();
+    let mut queue = OpenQueue::new(START);
     for (port, ms) in opens {
-        assert_eq!(queue.push(open(*port, *ms)), None);
+        assert_eq!(queue.push(open(*port, *ms), at(0)), None);
     }
     queue
 }
@@ -61,9 +61,9 @@
 /// One that can't wait is refused at once.
 #[test]
 fn too_many_refused() {
-    let mut queue = OpenQueue::default();
+    let mut queue = OpenQueue::new(START);
     let refused: Vec<FlowTuple> =
-        (0..1010).filter_map(|n| queue.push(open(n, 0))).map(|open| open.flow).collect();
+        (0..1010).filter_map(|n| queue.push(open(n, 0), at(0))).map(|open| open.flow).collect();
     assert_eq!(refused, (1000..1010).map(flow).collect::<Vec<_>>());
     assert_eq!(queue.len(), 1000);
 }
@@ -86,7 +86,7 @@
 
 /// Opening packets that were taken after 800 ms and more opened no flow: callers of this route wait less long.
 fn impatient() -> OpenQueue {
-    let mut queue = OpenQueue::default();
+    let mut queue = OpenQueue::new(START);
     for waited in [830, 850, 870] {
         queue.note_outcome(flow(1).route(), Duration::from_millis(waited), false, START);
     }
@@ -97,7 +97,7 @@
 fn learned_patience_decides() {
     let mut queue = impatient();
     for (port, ms) in [(1, 0), (2, 110), (3, 300), (4, 790)] {
-        queue.push(open(port, ms));
+        queue.push(open(port, ms), at(0));
     }
     let order: Vec<_> = (0..5).map(|_| next(&mut queue, true, 820)).collect();
     // The second may soon be lost, the fourth is in time, the third is late; the caller of the first is gone.
@@ -117,22 +117,37 @@
 /// A caller that is there sends copies after 200 and 600 ms.
 #[test]
 fn missing_copy_shows_that_the_caller_is_gone() {
-    let mut queue = OpenQueue::default();
+    let mut queue = OpenQueue::new(START);
     for port in [1, 2] {
         let terms = WaitTerms::new(1, LIMIT, at(200));
-        queue.push(WaitingOpen { terms, ..open(port, 0) });
+        queue.push(WaitingOpen { terms, ..open(port, 0) }, at(0));
     }
     assert!(queue.note_copy(&flow(2), 2) && !queue.note_copy(&flow(3), 2));
     let order: Vec<_> = (0..2).map(|_| next(&mut queue, true, 670)).collect();
     assert_eq!(order, [Some(flow(2)), Some(flow(1))]);
 }
 
+/// While callers have time for other tries, the one that ends this try is no more urgent than others: its next
+/// packet will be the newest.
+#[test]
+fn urgent_only_after_long_trouble() {
+    let mut queue = OpenQueue::new(START);
+    let timeout = Duration::from_secs(4);
+    for ms in (0..4000).step_by(500) {
+        let terms = WaitTerms { copies: 2, ..WaitTerms::new(0, LIMIT, at(ms)) }.timeout(timeout);
+        queue.push(WaitingOpen { terms, ..open(u16::try_from(ms).unwrap(), ms) }, at(ms));
+    }
+    // One second is added for the outage before the agent's start: 4 s less one try of 1.36 s less that.
+    assert!(!queue.any_urgent(at(1300)) && !queue.any_urgent(at(1600)));
+    assert!(queue.any_urgent(at(1800)));
+}
+
 /// A caller whose other flow for the same request is over has waited for an unknown time.
 #[test]
 fn caller_of_an_ended_flow_is_urgent() {
     let mut queue = queue(&[(1, 0)]);
     let terms = WaitTerms::new(0, LIMIT, at(100)).late(true);
-    queue.push(WaitingOpen { terms, ..open(2, 100) });
+    queue.push(WaitingOpen { terms, ..open(2, 100) }, at(0));
     assert!(queue.any_urgent(at(100)));
     assert_eq!(queue.take(AHEAD, true, at(100)).map(|open| open.flow), Some(flow(2)));
 }
@@ -140,7 +155,7 @@
 #[test]
 fn copies_of_a_waiting_packet_change_nothing() {
     let mut queue = queue(&[(1, 0), (2, 100)]);
-    assert_eq!(queue.push(open(1, 200)), None);
+    assert_eq!(queue.push(open(1, 200), at(0)), None);
     assert_eq!(queue.len(), 2);
     queue.remove(&flow(1));
     assert_eq!(queue.len(), 1);
