--- a/crates/dillmill-agent/src/ring_task.rs
+++ b/crates/dillmill-agent/src/ring_task.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dillmill_core::claims::Ring;
+use dillmill_core::claims::{Ring, RingMember};
 use dillmill_core::{EventKind, MemberStatus, ProcessId, Timestamp};
 use dillmill_store::RingStore;
 use dillmill_wire::{Ask, KeptAnswer};
@@ -20,7 +20,7 @@
 const MAX_PART: usize = 6 * 1024;
 const HAND_OVER_ATTEMPTS: usize = 5;
 
-/// Looks after the ring until the process ends.
+/// Looks after the ring until this agent has left it as planned.
 ///
 /// It looks again as soon as another agent has changed the ring: an agent that was alone until then must
 /// pass its records on at once, as its loss would leave every key unknown.
@@ -32,6 +32,9 @@
         let now = cx.node.clock.now();
         let lost = lost_members(&cx, &ring, &mut down_since, now);
         let joined = ring.contains(cx.me.process);
+        if !joined && cx.is_stopping() {
+            return;
+        }
         // One agent changes the ring; the next one in order does if that one is lost too.
         let is_first = first_serving(&ring, &lost) == Some(cx.me.process);
         if !joined || (!lost.is_empty() && is_first) {
@@ -87,8 +90,10 @@
     let changed = store
         .change(|ring| {
             let gone: Vec<ProcessId> = lost.iter().copied().filter(|p| ring.contains(*p)).collect();
-            let needed = !ring.contains(me.process) || !gone.is_empty();
-            needed.then(|| ring.changed(&[me], &gone, live_since))
+            // One that leaves must not come back: others would hand it their records when it has ended.
+            let join = !ring.contains(me.process) && !cx.is_stopping();
+            let added: &[RingMember] = if join { &[me] } else { &[] };
+            (join || !gone.is_empty()).then(|| ring.changed(added, &gone, live_since))
         })
         .await;
     let Ok((ring, by_us)) = changed else { return };
--- a/crates/dillmill-core/src/late_callers.rs
+++ b/crates/dillmill-core/src/late_callers.rs
@@ -13,8 +13,8 @@
 
 /// The callers that were just told that the flow on which they waited is over.
 ///
-/// They open another one at once for the same request, which has waited for long by then. Requests that can still be
-/// answered in time go before it.
+/// They open another one at once for the same request. It has waited for long by then and can't be answered in time,
+/// but may soon be lost for good, so it goes before others where opening packets wait.
 #[derive(Debug)]
 pub struct LateCallers {
     told: Generations<Ipv4Addr, (Timestamp, u32)>,
