--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -9,19 +9,17 @@
 
 use cyper::Client;
 use dillmill_settings::TokenHash;
-use dillmill_wire::ProcessStatus;
 use rand::Rng;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tempfile::TempDir;
 
 use crate::fabric::FabricRules;
-use crate::platform::{PlatformCounts, PlatformFaults};
 use crate::process::{Process, program};
-use crate::target::{TargetCounts, TargetRules};
 use crate::{Caller, StandinError};
 
 mod ports;
+mod questions;
+mod readiness;
+mod rules;
 mod spec;
 
 use ports::Ports;
@@ -379,206 +377,6 @@
         launches.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Returns the status that a process gives.
-    ///
-    /// # Errors
-    ///
-    /// Fails when it does not answer.
-    pub async fn status(&self, name: &str) -> Result<ProcessStatus, StandinError> {
-        self.get_json(self.admin(name)?, "/status").await
-    }
-
-    /// Returns the value of a metric of a process.
-    ///
-    /// # Errors
-    ///
-    /// Fails when it does not answer or has no such metric.
-    pub async fn metric(&self, name: &str, metric: &str) -> Result<i64, StandinError> {
-        let text = self.get_text(self.admin(name)?, "/metrics").await?;
-        text.lines()
-            .find_map(|line| line.strip_prefix(metric)?.strip_prefix(' ')?.parse().ok())
-            .ok_or_else(|| StandinError::new("ask metrics", format!("{name} has no {metric}")))
-    }
-
-    async fn get_text(&self, addr: SocketAddr, path: &str) -> Result<String, StandinError> {
-        let step = format!("get http://{addr}{path}");
-        let call = async {
-            let url = format!("http://{addr}{path}");
-            self.client.get(url)?.send().await?.text().await
-        };
-        compio::time::timeout(Duration::from_secs(2), call)
-            .await
-            .map_err(StandinError::at(step.clone()))?
-            .map_err(StandinError::at(step))
-    }
-
-    async fn get_json<T: DeserializeOwned>(
-        &self,
-        addr: SocketAddr,
-        path: &str,
-    ) -> Result<T, StandinError> {
-        let text = self.get_text(addr, path).await?;
-        serde_json::from_str(&text).map_err(StandinError::at(format!("read {path}: {text}")))
-    }
-
-    async fn put_json<T: Serialize>(
-        &self,
-        addr: SocketAddr,
-        path: &str,
-        value: &T,
-    ) -> Result<(), StandinError> {
-        let step = format!("put http://{addr}{path}");
-        let call = async {
-            let url = format!("http://{addr}{path}");
-            self.client.put(url)?.json(value)?.send().await
-        };
-        let answer = call.await.map_err(StandinError::at(step.clone()))?;
-        if answer.status().is_success() {
-            return Ok(());
-        }
-        Err(StandinError::new(step, answer.status()))
-    }
-
-    /// Waits until every process serves, knows all others and has the newest settings.
-    ///
-    /// # Errors
-    ///
-    /// Fails when that takes longer than 30 s.
-    pub async fn wait_ready(&self) -> Result<(), StandinError> {
-        let started = Instant::now();
-        loop {
-            let lacking = self.not_ready().await;
-            if lacking.is_empty() {
-                return Ok(());
-            }
-            if started.elapsed() > READY_LIMIT {
-                let what = format!("{}\n{}", lacking.join("; "), self.last_logs());
-                return Err(StandinError::new("wait", what));
-            }
-            compio::time::sleep(POLL).await;
-        }
-    }
-
-    /// Waits until the agent that began the ring of a service alone has passed its records on, for each service
-    /// with several targets.
-    ///
-    /// # Errors
-    ///
-    /// Fails when that takes longer than 30 s.
-    pub async fn wait_rings(&self) -> Result<(), StandinError> {
-        let started = Instant::now();
-        for service in self.spec.services.iter().filter(|service| service.targets > 1) {
-            while !self.ring_formed(&service.name).await? {
-                if started.elapsed() > READY_LIMIT {
-                    let name = &service.name;
-                    let what = format!("the ring of {name} does not form\n{}", self.last_logs());
-                    return Err(StandinError::new("wait", what));
-                }
-                compio::time::sleep(POLL).await;
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns the last lines of each process's log.
-    fn last_logs(&self) -> String {
-        self.processes.values().fold(String::new(), |mut out, p| {
-            let _ = writeln!(out, "--- {}\n{}", p.name(), tail(&p.log()));
-            out
-        })
-    }
-
-    async fn ring_formed(&self, service: &str) -> Result<bool, StandinError> {
-        for name in self.members().into_iter().filter(|name| name.starts_with(service)) {
-            if self.has_event(&name, "records passed on, alone before").await? {
-                return Ok(true);
-            }
-        }
-        Ok(false)
-    }
-
-    async fn not_ready(&self) -> Vec<String> {
-        let members = self.members();
-        let all = u64::try_from(members.len()).unwrap_or(u64::MAX);
-        let mut lacking = Vec::new();
-        let mut revisions = Vec::new();
-        for name in members {
-            match self.status(&name).await {
-                Ok(status) if status.serving != all => {
-                    lacking.push(format!("{name} knows {} of {all} serving", status.serving));
-                }
-                Ok(status) => revisions.push(status.revision),
-                Err(e) => lacking.push(e.to_string()),
-            }
-        }
-        revisions.dedup();
-        if revisions.len() > 1 {
-            lacking.push(format!("revisions differ: {revisions:?}"));
-        }
-        lacking
-    }
-
-    /// Lets the fabric use all balancers.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the fabric does not answer.
-    pub async fn use_all_balancers(&mut self) -> Result<(), StandinError> {
-        let all: Vec<String> = self.bind_ips.keys().cloned().collect();
-        let names: Vec<&str> = all.iter().map(String::as_str).collect();
-        self.use_balancers(&names).await
-    }
-
-    /// Lets the fabric use these balancers only.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the fabric does not answer.
-    pub async fn use_balancers(&mut self, names: &[&str]) -> Result<(), StandinError> {
-        let ips: Vec<IpAddr> =
-            names.iter().filter_map(|n| self.bind_ips.get(*n)).copied().collect();
-        self.rules.balancers = self
-            .services
-            .iter()
-            .map(|service| {
-                let port = service.address.port();
-                (service.address, ips.iter().map(|ip| SocketAddr::new(*ip, port)).collect())
-            })
-            .collect();
-        self.put_json(self.fabric, "/standin/rules", &self.rules).await
-    }
-
-    /// Changes what the fabric does with packets.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the fabric does not answer.
-    pub async fn fabric_rules(
-        &mut self,
-        change: impl FnOnce(&mut FabricRules),
-    ) -> Result<(), StandinError> {
-        change(&mut self.rules);
-        self.put_json(self.fabric, "/standin/rules", &self.rules).await
-    }
-
-    /// Sets the platform's faults.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not answer.
-    pub async fn platform_faults(&self, faults: &PlatformFaults) -> Result<(), StandinError> {
-        self.put_json(self.platform, "/standin/faults", faults).await
-    }
-
-    /// Returns the calls that the platform has counted.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform does not answer.
-    pub async fn platform_counts(&self) -> Result<PlatformCounts, StandinError> {
-        self.get_json(self.platform, "/standin/counts").await
-    }
-
     /// Returns the address of a target.
     ///
     /// # Errors
@@ -589,29 +387,6 @@
         found.ok_or_else(|| StandinError::new("find target", format!("no {name}")))
     }
 
-    /// Returns whether a process's time line has an event that says `what`.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process does not answer.
-    pub async fn has_event(&self, name: &str, what: &str) -> Result<bool, StandinError> {
-        Ok(self.get_text(self.admin(name)?, "/events").await?.contains(what))
-    }
-
-    fn admin(&self, name: &str) -> Result<SocketAddr, StandinError> {
-        let admin = self.launches.get(name).and_then(|launch| launch.admin);
-        admin.ok_or_else(|| StandinError::new("find the page of a process", format!("no {name}")))
-    }
-
-    /// Returns what a target has done.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the target does not answer.
-    pub async fn target_counts(&self, name: &str) -> Result<TargetCounts, StandinError> {
-        self.get_json(self.target(name)?, "/standin/counts").await
-    }
-
     /// Returns the names of the targets, in order.
     #[must_use]
     pub fn target_names(&self) -> Vec<String> {
@@ -620,15 +395,6 @@
         names
     }
 
-    /// Sets how a target behaves.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the target does not answer.
-    pub async fn target_rules(&self, name: &str, rules: &TargetRules) -> Result<(), StandinError> {
-        self.put_json(self.target(name)?, "/standin/rules", rules).await
-    }
-
     /// Opens a flow of a caller to a service.
     ///
     /// # Errors
@@ -679,11 +445,3 @@
         self.processes.get(name).map(Process::log).unwrap_or_default()
     }
 }
-
-fn tail(log: &str) -> String {
-    let lines: Vec<&str> = log.lines().collect();
-    lines[lines.len().saturating_sub(40)..].iter().fold(String::new(), |mut out, line| {
-        let _ = writeln!(out, "{line}");
-        out
-    })
-}
--- /dev/null
+++ b/crates/dillmill-standins/src/cluster/readiness.rs
@@ -0,0 +1,96 @@
+//! Waits until a cluster serves.
+
+use std::fmt::Write as _;
+use std::time::Instant;
+
+use super::{Cluster, POLL, READY_LIMIT};
+use crate::StandinError;
+
+impl Cluster {
+    /// Waits until every process serves, knows all others and has the newest settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than 30 s.
+    pub async fn wait_ready(&self) -> Result<(), StandinError> {
+        let started = Instant::now();
+        loop {
+            let lacking = self.not_ready().await;
+            if lacking.is_empty() {
+                return Ok(());
+            }
+            if started.elapsed() > READY_LIMIT {
+                let what = format!("{}\n{}", lacking.join("; "), self.last_logs());
+                return Err(StandinError::new("wait", what));
+            }
+            compio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Waits until the agent that began the ring of a service alone has passed its records on, for each service
+    /// with several targets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than 30 s.
+    pub async fn wait_rings(&self) -> Result<(), StandinError> {
+        let started = Instant::now();
+        for service in self.spec.services.iter().filter(|service| service.targets > 1) {
+            while !self.ring_formed(&service.name).await? {
+                if started.elapsed() > READY_LIMIT {
+                    let name = &service.name;
+                    let what = format!("the ring of {name} does not form\n{}", self.last_logs());
+                    return Err(StandinError::new("wait", what));
+                }
+                compio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the last lines of each process's log.
+    fn last_logs(&self) -> String {
+        self.processes.values().fold(String::new(), |mut out, p| {
+            let _ = writeln!(out, "--- {}\n{}", p.name(), tail(&p.log()));
+            out
+        })
+    }
+
+    async fn ring_formed(&self, service: &str) -> Result<bool, StandinError> {
+        for name in self.members().into_iter().filter(|name| name.starts_with(service)) {
+            if self.has_event(&name, "records passed on, alone before").await? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    async fn not_ready(&self) -> Vec<String> {
+        let members = self.members();
+        let all = u64::try_from(members.len()).unwrap_or(u64::MAX);
+        let mut lacking = Vec::new();
+        let mut revisions = Vec::new();
+        for name in members {
+            match self.status(&name).await {
+                Ok(status) if status.serving != all => {
+                    lacking.push(format!("{name} knows {} of {all} serving", status.serving));
+                }
+                Ok(status) => revisions.push(status.revision),
+                Err(e) => lacking.push(e.to_string()),
+            }
+        }
+        revisions.dedup();
+        if revisions.len() > 1 {
+            lacking.push(format!("revisions differ: {revisions:?}"));
+        }
+        lacking
+    }
+}
+
+fn tail(log: &str) -> String {
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(40)..].iter().fold(String::new(), |mut out, line| {
+        let _ = writeln!(out, "{line}");
+        out
+    })
+}
