--- a/crates/dillmill-core/src/flow_gate/waiting.rs
+++ b/crates/dillmill-core/src/flow_gate/waiting.rs
@@ -26,8 +26,8 @@
 
 impl FlowGate {
     /// Lets an opening packet wait; returns it if too many wait already.
-    pub fn wait(&mut self, open: WaitingOpen, now: Timestamp) -> Option<WaitingOpen> {
-        self.opens.push(open, now)
+    pub fn wait(&mut self, open: WaitingOpen) -> Option<WaitingOpen> {
+        self.opens.push(open)
     }
 
     /// Returns the number of opening packets that wait.
--- a/crates/dillmill-core/src/open_queue.rs
+++ b/crates/dillmill-core/src/open_queue.rs
@@ -4,15 +4,16 @@
 //! packet waits is served as soon as there is room. A request that nobody serves is worse than a late one, so the
 //! order is:
 //!
-//! 1. those whose callers may soon end this try, the oldest first; new ones wait behind them. This only once the trouble
-//!    has lasted so long that some callers may have no other try left: before, one that ends its try comes back with
-//!    a new packet, which is the newest then, and is served no later;
+//! 1. those whose callers may soon end this try, the oldest first; new ones wait behind them. This only while callers of
+//!    the time before the agent's start may be left without another try. At all other times a caller that ends its try
+//!    comes back with a new packet, which is the newest then, and is served no later;
 //! 2. those that can still be answered in time, the newest first;
 //! 3. late ones, when the target would have nothing to do otherwise, the oldest first;
 //! 4. those whose callers are probably gone, when nothing else waits.
 //!
 //! A queue that only served the oldest would do all its work for callers that have just gone, once its wait is as
-//! long as their patience, and never recover: each of them would be back with another try.
+//! long as their patience, and never recover: each of them would be back with another try. And where the load stays
+//! as high as what targets can do, it would make every answer late, to save few.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -24,13 +25,9 @@
 /// A packet goes first from this long before its caller may be gone. 80 and 150 ms were compared on whole days
 /// (docs/design/further.md): with less, requests are lost that this saves.
 const URGENT_WITHIN: Duration = Duration::from_millis(150);
-/// What an agent that starts adds to the age of the trouble that it finds: callers may have waited meanwhile, and a
-/// process that was killed, or lost power, is back after a second or more.
+/// How long callers have waited in vain at the least before an agent starts: a process that was killed, or lost
+/// power, is back after a second or more.
 const OUTAGE: Duration = Duration::from_secs(1);
-/// A queue that begins to fill within this time after the start of its agent does so because of the outage before.
-const AFTER_START: Duration = Duration::from_secs(2);
-/// A queue that has been empty for this long has nothing to do with the next one.
-const CALM: Duration = Duration::from_secs(1);
 /// A copy that has not come this long after it was due was not sent: its caller has gone.
 const COPY_SLACK: Duration = Duration::from_millis(60);
 /// Opening packets that wait at most, some 200 bytes each. None is refused for the sake of another before its caller
@@ -112,10 +109,11 @@
         !self.late && now.since(self.since) + ahead <= self.limit
     }
 
-    /// Returns how the packet stands if callers wait for `patience` and `trouble` has lasted.
-    fn standing(&self, patience: Duration, trouble: Duration, now: Timestamp) -> Standing {
+    /// Returns how the packet stands at an agent that has run for `age`, if callers wait for `patience`.
+    fn standing(&self, patience: Duration, age: Duration, now: Timestamp) -> Standing {
         let waited = now.since(self.since);
-        let ends = waited + URGENT_WITHIN >= patience && trouble + patience >= self.timeout;
+        let last_try = age < self.timeout && OUTAGE + age + patience >= self.timeout;
+        let ends = waited + URGENT_WITHIN >= patience && last_try;
         if waited >= patience || self.copy_is_missing(waited) {
             Standing::Doubtful
         } else if ends || self.late && waited < URGENT_WITHIN {
@@ -149,8 +147,6 @@
 pub struct OpenQueue {
     waiting: Vec<WaitingOpen>,
     started: Timestamp,
-    /// When the first packet waited, and the last one did.
-    crowded: Option<(Timestamp, Timestamp)>,
     /// How long the callers of each route wait.
     patience: HashMap<SocketAddrV4, Patience>,
 }
@@ -159,7 +155,7 @@
     /// Creates the queue of an agent that starts at `now`.
     #[must_use]
     pub fn new(now: Timestamp) -> Self {
-        Self { waiting: Vec::new(), started: now, crowded: None, patience: HashMap::new() }
+        Self { waiting: Vec::new(), started: now, patience: HashMap::new() }
     }
 
     /// Returns whether the opening packet of `flow` waits here.
@@ -169,12 +165,7 @@
     }
 
     /// Lets a packet wait; returns it if too many wait already.
-    pub fn push(&mut self, open: WaitingOpen, now: Timestamp) -> Option<WaitingOpen> {
-        let since = match self.crowded {
-            Some((since, last)) if now.since(last) < CALM => since,
-            _ => now,
-        };
-        self.crowded = Some((since, now));
+    pub fn push(&mut self, open: WaitingOpen) -> Option<WaitingOpen> {
         if self.contains(&open.flow) {
             self.note_copy(&open.flow, open.terms.copies);
             return None;
@@ -214,14 +205,7 @@
 
     fn standing(&self, open: &WaitingOpen, now: Timestamp) -> Standing {
         let patience = self.patience(&open.flow, &open.terms, now);
-        open.terms.standing(patience, self.trouble(now), now)
-    }
-
-    /// Returns for how long callers may have waited in vain.
-    fn trouble(&self, now: Timestamp) -> Duration {
-        let Some((since, _)) = self.crowded else { return Duration::ZERO };
-        let after_start = since.since(self.started) < AFTER_START;
-        now.since(since) + if after_start { OUTAGE } else { Duration::ZERO }
+        open.terms.standing(patience, now.since(self.started), now)
     }
 
     /// Forgets the opening packet of `flow`: a copy of it has gone another way.
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -198,7 +198,7 @@
     let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     let terms = WaitTerms::new(2, Duration::from_millis(150), NOW);
-    gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms }, NOW);
+    gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms });
     let later = NOW + Duration::from_millis(700);
     let verdict = gate.arrived(&open(2), &place(), known, later);
     assert!(matches!(verdict, Verdict::Wait { .. }), "{verdict:?}");
@@ -216,7 +216,7 @@
     let known = Known { agents: &agents, routes: &routes, settled: true };
     let mut gate = gate();
     let terms = WaitTerms::new(0, Duration::from_millis(150), NOW);
-    gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms }, NOW);
+    gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms });
     let copy = segment(1, SegmentKind::Open { copies: 1 });
     assert_eq!(arrived(&mut gate, &copy, &place(), known), Verdict::Drop);
     assert_eq!(gate.waiting(), 1);
--- a/crates/dillmill-core/tests/open_queues.rs
+++ b/crates/dillmill-core/tests/open_queues.rs
@@ -5,6 +5,7 @@
 
 use dillmill_core::open_queue::{OpenQueue, WaitTerms, WaitingOpen, waiting_since};
 use dillmill_core::{Envelope, Errand, FlowTuple, Revision, ServiceTag, Timestamp};
+use rstest::rstest;
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
 const LIMIT: Duration = Duration::from_millis(200);
@@ -34,7 +35,7 @@
 fn queue(opens: &[(u16, u64)]) -> OpenQueue {
     let mut queue = OpenQueue::new(START);
     for (port, ms) in opens {
-        assert_eq!(queue.push(open(*port, *ms), at(0)), None);
+        assert_eq!(queue.push(open(*port, *ms)), None);
     }
     queue
 }
@@ -63,7 +64,7 @@
 fn too_many_refused() {
     let mut queue = OpenQueue::new(START);
     let refused: Vec<FlowTuple> =
-        (0..1010).filter_map(|n| queue.push(open(n, 0), at(0))).map(|open| open.flow).collect();
+        (0..1010).filter_map(|n| queue.push(open(n, 0))).map(|open| open.flow).collect();
     assert_eq!(refused, (1000..1010).map(flow).collect::<Vec<_>>());
     assert_eq!(queue.len(), 1000);
 }
@@ -97,7 +98,7 @@
 fn learned_patience_decides() {
     let mut queue = impatient();
     for (port, ms) in [(1, 0), (2, 110), (3, 300), (4, 790)] {
-        queue.push(open(port, ms), at(0));
+        queue.push(open(port, ms));
     }
     let order: Vec<_> = (0..5).map(|_| next(&mut queue, true, 820)).collect();
     // The second may soon be lost, the fourth is in time, the third is late; the caller of the first is gone.
@@ -120,26 +121,27 @@
     let mut queue = OpenQueue::new(START);
     for port in [1, 2] {
         let terms = WaitTerms::new(1, LIMIT, at(200));
-        queue.push(WaitingOpen { terms, ..open(port, 0) }, at(0));
+        queue.push(WaitingOpen { terms, ..open(port, 0) });
     }
     assert!(queue.note_copy(&flow(2), 2) && !queue.note_copy(&flow(3), 2));
     let order: Vec<_> = (0..2).map(|_| next(&mut queue, true, 670)).collect();
     assert_eq!(order, [Some(flow(2)), Some(flow(1))]);
 }
 
-/// While callers have time for other tries, the one that ends this try is no more urgent than others: its next
-/// packet will be the newest.
-#[test]
-fn urgent_only_after_long_trouble() {
+/// While callers have time for other tries, one that ends this try is no more urgent than others: its next packet will
+/// be the newest. That is so before callers of the time before the agent's start run out of tries, and after they
+/// are gone.
+#[rstest]
+#[case::too_early(1600, false)]
+#[case::last_tries(1800, true)]
+#[case::before_they_are_gone(3900, true)]
+#[case::all_asked_later(4100, false)]
+fn urgent_only_for_callers_of_the_outage(#[case] ms: u64, #[case] urgent: bool) {
     let mut queue = OpenQueue::new(START);
     let timeout = Duration::from_secs(4);
-    for ms in (0..4000).step_by(500) {
-        let terms = WaitTerms { copies: 2, ..WaitTerms::new(0, LIMIT, at(ms)) }.timeout(timeout);
-        queue.push(WaitingOpen { terms, ..open(u16::try_from(ms).unwrap(), ms) }, at(ms));
-    }
-    // One second is added for the outage before the agent's start: 4 s less one try of 1.36 s less that.
-    assert!(!queue.any_urgent(at(1300)) && !queue.any_urgent(at(1600)));
-    assert!(queue.any_urgent(at(1800)));
+    let terms = WaitTerms { copies: 2, ..WaitTerms::new(0, LIMIT, at(ms - 1300)) };
+    queue.push(WaitingOpen { terms: terms.timeout(timeout), ..open(1, 0) });
+    assert_eq!(queue.any_urgent(at(ms)), urgent);
 }
 
 /// A caller whose other flow for the same request is over has waited for an unknown time.
@@ -147,7 +149,7 @@
 fn caller_of_an_ended_flow_is_urgent() {
     let mut queue = queue(&[(1, 0)]);
     let terms = WaitTerms::new(0, LIMIT, at(100)).late(true);
-    queue.push(WaitingOpen { terms, ..open(2, 100) }, at(0));
+    queue.push(WaitingOpen { terms, ..open(2, 100) });
     assert!(queue.any_urgent(at(100)));
     assert_eq!(queue.take(AHEAD, true, at(100)).map(|open| open.flow), Some(flow(2)));
 }
@@ -155,7 +157,7 @@
 #[test]
 fn copies_of_a_waiting_packet_change_nothing() {
     let mut queue = queue(&[(1, 0), (2, 100)]);
-    assert_eq!(queue.push(open(1, 200), at(0)), None);
+    assert_eq!(queue.push(open(1, 200)), None);
     assert_eq!(queue.len(), 2);
     queue.remove(&flow(1));
     assert_eq!(queue.len(), 1);
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -29,7 +29,7 @@
             )
         });
         let open = WaitingOpen { flow: seg.flow, packet, envelope, terms };
-        if let Some(open) = self.gate.wait(open, now) {
+        if let Some(open) = self.gate.wait(open) {
             let (open, verdict) = self.gate.refused(open);
             self.refuse(&open.flow, &verdict, now);
         }
--- a/crates/dillmill-standins/src/waiting.rs
+++ b/crates/dillmill-standins/src/waiting.rs
@@ -241,7 +241,7 @@
             terms: terms.patience(assumed).timeout(timeout),
         };
         if self.order == Order::Patience {
-            self.queue.push(open, now);
+            self.queue.push(open);
         } else if !self.plain.contains(&(n, tries)) {
             self.plain.push((n, tries));
         }
