feat(flow): packets wait for the VM's own link

Cause: a link of 2 Mbit/s holds 50 ms of its rate and drops what comes on top (10 of 16, 100 or 200 datagrams sent at once arrive; trial). A window of an upload is 16 packets: six were lost, and with them probes, records and opening packets.

Change: LinkQueue, a token bucket by the rate in the settings with deficit round robin among flows; messages between processes and resets are sent at once and charged; a copy takes the place of the packet that still waits. Bytes are counted by kind for good. A tree without the rate keeps nothing back.

--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`patience`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that breaks requests off is set aside |
 //! | [`target_runs`] | which run of a target a heartbeat speaks for |
+//! | [`link_queue`] | which packet leaves next over the VM's link, and when |
 //! | [`pending_searches`] | when a search for an owner that has brought nothing is repeated |
 //! | [`home_table`] | which agent gets the first packet of a flow |
 //! | [`membership`] | which processes are serving, leaving, suspect or down |
@@ -38,6 +39,8 @@
 pub mod home_table;
 pub mod interval;
 pub mod late_callers;
+pub mod link_queue;
+pub mod link_rate;
 pub mod member;
 pub mod membership;
 pub mod names;
@@ -74,6 +77,8 @@
 pub use home_table::{Home, HomeTable};
 pub use interval::Interval;
 pub use late_callers::LateCallers;
+pub use link_queue::{Admission, Departure, LinkQueue, PacketId};
+pub use link_rate::{LinkRate, LinkRateError};
 pub use member::{Member, MemberStatus, Role, StoreReach};
 pub use membership::Membership;
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -70,7 +70,7 @@
             service,
             settings,
             counters,
-        );
+        )?;
         compio::runtime::spawn(task.run(calls, flows, stops)).detach();
         Session::spawn(&node, config.control, settings);
         RouteWatch::spawn(&node, settings.first_start);
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -9,10 +9,10 @@
 use dillmill_core::flow_gate::{Known, TargetPresence, TargetStanding, Verdict};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, CallerPackets, Envelope, Errand, FlowGate, FlowTuple, PauseWatch, RouteTable,
-    Segment, SegmentKind, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
+    AgentTable, CallerPackets, Departure, Envelope, Errand, FlowGate, FlowTuple, PauseWatch,
+    RouteTable, Segment, SegmentKind, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
 };
-use dillmill_node::{NodeHandle, View, Views};
+use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, Views};
 use dillmill_platform::packet::{self, Sender};
 use dillmill_platform::{EndpointCall, ProcessSettings};
 use dillmill_wire::{FlowMessage, Message, open_envelope, seal_envelope};
@@ -23,6 +23,7 @@
 use crate::presence;
 use crate::registrations::Registrations;
 use crate::sockets::{self, datagrams, ticks};
+use crate::uplink::{Uplink, traffic_kind};
 
 mod reports;
 mod target_word;
@@ -47,6 +48,8 @@
     Call(EndpointCall),
     Stop(StopRequest),
     Presence(TargetPresence),
+    /// The link takes the next packet.
+    LinkFree,
     Tick,
 }
 
@@ -75,6 +78,8 @@
     handle: NodeHandle,
     views: Views,
     packets: UdpSocket,
+    uplink: Uplink,
+    link_free: flume::Receiver<()>,
     outbound: UdpSocket,
     target: SocketAddrV4,
     zone: ZoneName,
@@ -100,7 +105,10 @@
 
 impl AgentTask {
     /// Creates the task of an agent.
-    #[must_use]
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name of a metric is taken.
     pub fn new(
         handle: NodeHandle,
         packets: UdpSocket,
@@ -109,16 +117,20 @@
         service: ServiceName,
         settings: &ProcessSettings,
         counters: AgentCounters,
-    ) -> Self {
+    ) -> Result<Self, NodeError> {
         let now = handle.clock.now();
+        let (uplink, link_free) =
+            Uplink::new(packets.clone(), settings.link, &handle.metrics, now)?;
         let tag = ServiceTag::from(&service);
-        Self {
+        Ok(Self {
             gate: FlowGate::new(handle.process, settings.packets, tag, now)
                 .heartbeat_every(settings.heartbeat_every),
             log: DecisionLog::new(handle.journal.clone(), now),
             views: handle.views(),
             handle,
             packets,
+            uplink,
+            link_free,
             outbound,
             target,
             zone: settings.zone.clone(),
@@ -136,7 +148,7 @@
             empty: false,
             pauses: PauseWatch::new(TICK * 2),
             stopping: None,
-        }
+        })
     }
 
     /// Runs until the process ends.
@@ -153,6 +165,7 @@
             calls.into_stream().map(Event::Call).boxed_local(),
             stops.into_stream().map(Event::Stop).boxed_local(),
             stream::once(presence::look(self.target)).map(Event::Presence).boxed_local(),
+            self.link_free.clone().into_stream().map(|()| Event::LinkFree).boxed_local(),
             ticks(TICK).map(|()| Event::Tick).boxed_local(),
         ]);
         while let Some(event) = events.next().await {
@@ -174,6 +187,7 @@
                 Event::Call(call) => self.call(call, now).await,
                 Event::Stop(request) => self.stop(request, now),
                 Event::Presence(presence) => self.take_presence(presence),
+                Event::LinkFree => self.uplink.release(now).await,
                 Event::Tick => {
                     self.serve_waiting(now).await;
                     self.tick(now);
@@ -203,6 +217,7 @@
         let Ok(seg) = packet::decode(packet, Sender::Caller) else {
             return self.counters.dropped.inc();
         };
+        self.handle.metrics.traffic.received(kind_of(&envelope.errand, &seg), buf.len());
         if matches!(envelope.errand, Errand::Place { .. }) {
             self.note_origin(envelope.origin, now);
         }
@@ -237,7 +252,7 @@
             return self.counters.dropped.inc();
         }
         self.counters.answered.inc();
-        self.send_to_caller(&seg.flow, buf).await;
+        self.send_to_caller(&seg, buf, now).await;
         self.serve_waiting(now).await;
     }
 
@@ -270,7 +285,7 @@
                 self.log.flow(now, &seg.flow, format_args!("passed to {to}"), || {
                     format!("{reason:?}, {:?}", envelope.errand)
                 });
-                self.pass(&envelope, packet, to).await;
+                self.pass(&envelope, seg, packet, to, now).await;
             }
             Verdict::Wait { terms, envelope, tell } => {
                 self.wait(seg, packet, envelope, terms, now);
@@ -286,8 +301,9 @@
             }
             Verdict::Ended { caller_expects } => {
                 self.log.flow(now, &seg.flow, "reset", || "its target has ended".to_owned());
-                let reset = packet::reset(&seg.flow, caller_expects);
-                self.send_to_caller(&seg.flow, reset.to_vec()).await;
+                let reset = packet::reset(&seg.flow, caller_expects).to_vec();
+                let to = self.caller_address(&seg.flow);
+                self.uplink.send_at_once(TrafficKind::Reset, reset, to).await;
             }
             refused @ Verdict::Refuse { .. } => self.refuse(&seg.flow, &refused, now),
             Verdict::Drop => self.counters.dropped.inc(),
@@ -335,22 +351,37 @@
         });
     }
 
-    async fn pass(&self, envelope: &Envelope, mut packet: Vec<u8>, to: SocketAddrV4) {
+    async fn pass(
+        &mut self,
+        envelope: &Envelope,
+        seg: &Segment,
+        mut packet: Vec<u8>,
+        to: SocketAddrV4,
+        now: Timestamp,
+    ) {
         packet::set_mark(&mut packet, 0);
         let mut buf = Vec::with_capacity(packet.len() + 64);
         seal_envelope(envelope, &packet, &mut buf);
-        if !sockets::send(&self.packets, buf, to).await {
-            self.counters.dropped.inc();
-        }
+        let departure = Departure { flow: seg.flow, packet: seg.into(), buf, to };
+        self.depart(kind_of(&envelope.errand, seg), departure, now).await;
     }
 
-    async fn send_to_caller(&self, flow: &FlowTuple, packet: Vec<u8>) {
-        let to = SocketAddrV4::new(*flow.caller().ip(), self.caller_port);
-        if !sockets::send(&self.packets, packet, to).await {
-            self.counters.dropped.inc();
+    async fn send_to_caller(&mut self, seg: &Segment, buf: Vec<u8>, now: Timestamp) {
+        let to = self.caller_address(&seg.flow);
+        let departure = Departure { flow: seg.flow, packet: seg.into(), buf, to };
+        self.depart(traffic_kind(seg), departure, now).await;
+    }
+
+    async fn depart(&mut self, kind: TrafficKind, departure: Departure, now: Timestamp) {
+        if let Some(flow) = self.uplink.send(kind, departure, now).await {
+            self.log.flow(now, &flow, "dropped", || "too much waits for the link".to_owned());
         }
     }
 
+    fn caller_address(&self, flow: &FlowTuple) -> SocketAddrV4 {
+        SocketAddrV4::new(*flow.caller().ip(), self.caller_port)
+    }
+
     fn message(&mut self, from: SocketAddrV4, message: FlowMessage, now: Timestamp) {
         match message {
             FlowMessage::Records(records) => {
@@ -390,3 +421,10 @@
         }
     }
 }
+
+fn kind_of(errand: &Errand, seg: &Segment) -> TrafficKind {
+    match errand {
+        Errand::Search(_) | Errand::Directed { .. } => TrafficKind::Search,
+        Errand::Place { .. } | Errand::Deliver => traffic_kind(seg),
+    }
+}
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -71,7 +71,7 @@
             settings,
             counters.clone(),
             readiness.clone(),
-        );
+        )?;
         compio::runtime::spawn(task.run(loads, flows)).detach();
         Session::spawn(&node, config.control, settings);
         RouteWatch::spawn(&node, settings.first_start);
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -10,11 +10,11 @@
 use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, LateCallers, Owner,
-    OwnerCache, PauseWatch, PendingSearches, RouteTable, Search, SearchScope, Segment, SegmentKind,
-    ServiceTag, Timestamp, ZoneName,
+    AgentTable, Departure, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, LateCallers,
+    Owner, OwnerCache, PauseWatch, PendingSearches, RouteTable, Search, SearchScope, Segment,
+    SegmentKind, ServiceTag, Timestamp, ZoneName,
 };
-use dillmill_node::{NodeHandle, View, Views};
+use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, Views};
 use dillmill_platform::ProcessSettings;
 use dillmill_platform::packet::{self, Sender};
 use dillmill_wire::{FlowMessage, Message, seal_envelope};
@@ -22,7 +22,8 @@
 
 use crate::decision_log::DecisionLog;
 use crate::flow_metrics::BalancerCounters;
-use crate::sockets::{self, datagrams, ticks};
+use crate::sockets::{datagrams, ticks};
+use crate::uplink::{Uplink, traffic_kind};
 
 /// Time between two looks at agents that do not answer.
 const TICK: Duration = Duration::from_millis(100);
@@ -48,6 +49,8 @@
     Flow(FlowMessage),
     /// The search for this flow's owner is to be repeated.
     Again(FlowTuple),
+    /// The link takes the next packet.
+    LinkFree,
     Tick,
 }
 
@@ -56,6 +59,8 @@
     handle: NodeHandle,
     views: Views,
     socket: UdpSocket,
+    uplink: Uplink,
+    link_free: flume::Receiver<()>,
     control: SocketAddrV4,
     zone: ZoneName,
     caller_port: u16,
@@ -76,7 +81,10 @@
 
 impl BalancerTask {
     /// Creates the task of a balancer whose messages come to `control`.
-    #[must_use]
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name of a metric is taken.
     pub fn new(
         handle: NodeHandle,
         socket: UdpSocket,
@@ -84,14 +92,17 @@
         settings: &ProcessSettings,
         counters: BalancerCounters,
         readiness: Rc<Cell<Readiness>>,
-    ) -> Self {
+    ) -> Result<Self, NodeError> {
         let now = handle.clock.now();
+        let (uplink, link_free) = Uplink::new(socket.clone(), settings.link, &handle.metrics, now)?;
         let (again, repeated) = flume::unbounded();
         let log = DecisionLog::new(handle.journal.clone(), now);
-        Self {
+        Ok(Self {
             views: handle.views(),
             handle,
             socket,
+            uplink,
+            link_free,
             control,
             zone: settings.zone.clone(),
             caller_port: settings.packets.port(),
@@ -108,7 +119,7 @@
             late: LateCallers::default(),
             again,
             repeated,
-        }
+        })
     }
 
     /// Runs until the process ends.
@@ -122,6 +133,7 @@
             loads.into_stream().map(|(_, report)| Event::Load(report)).boxed_local(),
             flows.into_stream().map(|(_, message)| Event::Flow(message)).boxed_local(),
             self.repeated.clone().into_stream().map(Event::Again).boxed_local(),
+            self.link_free.clone().into_stream().map(|()| Event::LinkFree).boxed_local(),
             ticks(TICK).map(|()| Event::Tick).boxed_local(),
         ]);
         while let Some(event) = events.next().await {
@@ -139,6 +151,7 @@
                 Event::Again(flow) => {
                     self.search_again(flow, SearchScope::Directories, now).await;
                 }
+                Event::LinkFree => self.uplink.release(now).await,
                 Event::Tick => self.tick(now).await,
             }
         }
@@ -189,6 +202,7 @@
         let Ok(seg) = packet::decode(buf, Sender::Caller) else {
             return self.counters.dropped.inc();
         };
+        self.handle.metrics.traffic.received(traffic_kind(&seg), buf.len());
         let routes = self.routes.clone();
         let Some(route) = routes.get(seg.flow.route()) else {
             return self.no_route(&seg, now).await;
@@ -257,7 +271,8 @@
         });
         self.owners.set(seg.flow, owner, now);
         let late = self.late.tries_again(*seg.flow.caller().ip(), now);
-        self.send(service, Errand::Place { passed: Vec::new(), late }, buf, owner.data).await;
+        self.send(seg, service, Errand::Place { passed: Vec::new(), late }, buf, owner.data, now)
+            .await;
     }
 
     /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
@@ -283,7 +298,7 @@
         self.placement.count_bytes(service, u64::from(seg.len));
         let known = self.owners.get(&seg.flow, now);
         if let Some(owner) = known.filter(|owner| self.agents.at(owner.data).is_some()) {
-            return self.send(service, Errand::Deliver, buf, owner.data).await;
+            return self.send(seg, service, Errand::Deliver, buf, owner.data, now).await;
         }
         self.search(seg, service, services, buf, now).await;
     }
@@ -324,22 +339,36 @@
         });
         let place = Some(place);
         let errand = Errand::Search(Search { place, steps: 1, sure: true, scope });
-        self.send(service, errand, buf, first).await;
+        self.send(seg, service, errand, buf, first, now).await;
     }
 
-    async fn send(&self, service: ServiceTag, errand: Errand, packet: &[u8], to: SocketAddrV4) {
+    async fn send(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        errand: Errand,
+        packet: &[u8],
+        to: SocketAddrV4,
+        now: Timestamp,
+    ) {
+        let kind = match errand {
+            Errand::Search(_) => TrafficKind::Search,
+            Errand::Place { .. } | Errand::Deliver | Errand::Directed { .. } => traffic_kind(seg),
+        };
         let revision = self.routes.revision;
         let envelope = Envelope { service, revision, origin: self.control, errand };
         let mut buf = Vec::with_capacity(packet.len() + 48);
         seal_envelope(&envelope, packet, &mut buf);
-        if !sockets::send(&self.socket, buf, to).await {
-            self.counters.dropped.inc();
+        let departure = Departure { flow: seg.flow, packet: seg.into(), buf, to };
+        if let Some(flow) = self.uplink.send(kind, departure, now).await {
+            self.log.flow(now, &flow, "dropped", || "too much waits for the link".to_owned());
         }
     }
 
     async fn reset(&self, flow: &FlowTuple, seq: u32) {
         let to = SocketAddrV4::new(*flow.caller().ip(), self.caller_port);
-        sockets::send(&self.socket, packet::reset(flow, seq).to_vec(), to).await;
+        let reset = packet::reset(flow, seq).to_vec();
+        self.uplink.send_at_once(TrafficKind::Reset, reset, to).await;
     }
 
     /// Has a search that found nobody repeated: the caller's own next try may come too late.
@@ -376,7 +405,8 @@
         let agent = self.agents.at(owner.data).map(|agent| agent.service);
         for buf in self.searches.end(&flow) {
             if let Some(service) = agent {
-                self.send(service, Errand::Deliver, &buf, owner.data).await;
+                let Ok(seg) = packet::decode(&buf, Sender::Caller) else { continue };
+                self.send(&seg, service, Errand::Deliver, &buf, owner.data, now).await;
             }
         }
     }
--- a/crates/dillmill-flow/src/lib.rs
+++ b/crates/dillmill-flow/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`session`] | the process's entry in the store, and who else is there |
 //! | [`route_watch`] | reads the operator's configuration |
 //! | [`reload`] | reads a changed settings file |
+//! | [`uplink`] | lets packets wait for the VM's link |
 //! | [`endpoints`] | readiness and heartbeats |
 //! | [`decision_log`] | one line a decision, bounded |
 
@@ -29,6 +30,7 @@
 pub mod route_watch;
 pub mod session;
 pub mod sockets;
+pub mod uplink;
 
 pub use agent::FlowAgent;
 pub use balancer::FlowBalancer;
--- a/crates/dillmill-node/src/client.rs
+++ b/crates/dillmill-node/src/client.rs
@@ -19,12 +19,24 @@
     key: &ClusterKey,
     question: &StreamMessage,
 ) -> Result<StreamMessage, NodeError> {
-    let mut framed = Framed::connect(to, key.clone()).await?;
+    exchange(Framed::connect(to, key.clone()).await?, question).await
+}
+
+/// Asks the process at the other end of a connection and returns its answer.
+///
+/// # Errors
+///
+/// Fails when the process does not answer within two seconds.
+pub async fn exchange(
+    mut framed: Framed,
+    question: &StreamMessage,
+) -> Result<StreamMessage, NodeError> {
+    let peer = framed.peer().to_owned();
     let exchange = async {
         framed.send(question).await?;
         framed.receive().await
     };
     compio::time::timeout(ANSWER_TIMEOUT, exchange)
         .await
-        .map_err(|_| NodeError::new("ask", to, "no answer"))?
+        .map_err(|_| NodeError::new("ask", peer, "no answer"))?
 }
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -16,7 +16,7 @@
 
 use crate::handle::{Inlets, NodeHandle, Question, with_draw};
 use crate::views::ViewSender;
-use crate::{SettingsSource, View, client};
+use crate::{Framed, SettingsSource, TrafficKind, View, client};
 
 mod input;
 
@@ -360,7 +360,9 @@
         };
         let handle = self.handle.clone();
         compio::runtime::spawn(async move {
-            let answer = client::ask(peer, &handle.key, &question).await;
+            let Ok(framed) = Framed::connect(peer, handle.key.clone()).await else { return };
+            let framed = framed.counted(&handle.metrics.traffic);
+            let answer = client::exchange(framed, &question).await;
             if let Ok(StreamMessage::Synced { members, changes, tree, routes }) = answer {
                 let _ = handle.tx.send(Input::Members(members));
                 let source = format!("peer {peer}");
@@ -482,6 +484,7 @@
             return;
         }
         self.handle.metrics.control_sent.inc_by(bytes.len() as u64);
+        self.handle.metrics.traffic.sent_at_once(TrafficKind::from(message), bytes.len());
         // A datagram that can't be sent is as one that was lost: whoever needs it asks again.
         let _ = self.socket.send_to(bytes, std::net::SocketAddr::V4(to)).await;
     }
--- a/crates/dillmill-node/src/framed.rs
+++ b/crates/dillmill-node/src/framed.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
 use send_wrapper::SendWrapper;
 
-use crate::NodeError;
+use crate::{NodeError, Traffic, TrafficKind};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -22,13 +22,22 @@
     stream: SendWrapper<TcpStream>,
     key: ClusterKey,
     peer: String,
+    /// Counts what is sent.
+    traffic: Option<Traffic>,
 }
 
 impl Framed {
     /// Wraps a connection.
     #[must_use]
     pub fn new(stream: TcpStream, key: ClusterKey, peer: String) -> Self {
-        Self { stream: SendWrapper::new(stream), key, peer }
+        Self { stream: SendWrapper::new(stream), key, peer, traffic: None }
+    }
+
+    /// Counts what is sent as traffic of this process.
+    #[must_use]
+    pub fn counted(mut self, traffic: &Traffic) -> Self {
+        self.traffic = Some(traffic.clone());
+        self
     }
 
     /// Connects to a process.
@@ -45,6 +54,12 @@
         Ok(Self::new(stream, key, to.to_string()))
     }
 
+    /// Returns who is at the other end.
+    #[must_use]
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
     /// Returns a future that completes when the other side closes the connection.
     ///
     /// Only for a connection on which the other side sends nothing more.
@@ -68,6 +83,9 @@
             .map_err(|_| NodeError::new("encode for", &self.peer, "message too long"))?;
         let mut bytes = len.to_be_bytes().to_vec();
         bytes.extend_from_slice(&sealed);
+        if let Some(traffic) = &self.traffic {
+            traffic.sent_at_once(TrafficKind::Stream, bytes.len());
+        }
         let BufResult(outcome, _) = self.stream.write_all(bytes).await;
         outcome.map_err(NodeError::io("send to", &self.peer))
     }
--- a/crates/dillmill-node/src/lib.rs
+++ b/crates/dillmill-node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod stop;
 pub mod store_task;
+pub mod traffic;
 pub mod view;
 pub mod views;
 
@@ -30,5 +31,6 @@
 pub use handle::{Handed, Inlets, Journal, NodeHandle, Question, with_draw};
 pub use metrics::Metrics;
 pub use node::{Node, NodeSpec, SettingsSource};
+pub use traffic::{Traffic, TrafficKind};
 pub use view::View;
 pub use views::Views;
--- a/crates/dillmill-node/src/metrics.rs
+++ b/crates/dillmill-node/src/metrics.rs
@@ -4,7 +4,7 @@
     Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::NodeError;
+use crate::{NodeError, Traffic};
 
 /// The registry of a process and the metrics of its control task.
 #[derive(Debug, Clone)]
@@ -24,6 +24,8 @@
     pub platform_errors: IntCounter,
     /// Open flows.
     pub flows: IntGauge,
+    /// Bytes on the VM's link by what they carry.
+    pub traffic: Traffic,
 }
 
 impl Metrics {
@@ -54,6 +56,7 @@
                 "Failed calls to the platform",
             )?,
             flows: gauge(&registry, "dillmill_flows", "Open flows")?,
+            traffic: Traffic::new(&registry)?,
             registry,
         };
         Ok(metrics)
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -14,8 +14,8 @@
 
 use crate::control::{Control, Input};
 use crate::{
-    Clock, Framed, Handed, Journal, Metrics, NodeError, NodeHandle, ProcessConfig, admin, logging,
-    store_task,
+    Clock, Framed, Handed, Journal, Metrics, NodeError, NodeHandle, ProcessConfig, TrafficKind,
+    admin, logging, store_task,
 };
 
 const TICK: Duration = Duration::from_millis(50);
@@ -136,6 +136,7 @@
         handle.metrics.control_received.inc_by(n as u64);
         match handle.key.open(&buf[..n]) {
             Ok(message) => {
+                handle.metrics.traffic.received(TrafficKind::from(&message), n);
                 if handle.tx.send(Input::Datagram { from, message }).is_err() {
                     return;
                 }
@@ -155,7 +156,7 @@
 async fn serve_stream(stream: TcpStream, peer: SocketAddr, handle: NodeHandle) {
     let _ = stream.set_nodelay(true);
     let key: ClusterKey = handle.key.clone();
-    let mut framed = Framed::new(stream, key, peer.to_string());
+    let mut framed = Framed::new(stream, key, peer.to_string()).counted(&handle.metrics.traffic);
     while let Ok(message) = framed.receive().await {
         if let StreamMessage::Request(request) = message {
             let handed = Handed { request: *request, framed };
--- /dev/null
+++ b/crates/dillmill-node/src/traffic.rs
@@ -0,0 +1,152 @@
+//! Bytes on the VM's link by what they carry.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use dillmill_core::link_queue::wire_bytes;
+use dillmill_core::membership::Probe;
+use dillmill_wire::{FlowMessage, Message};
+use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+
+use crate::NodeError;
+
+/// What a datagram or a message on a stream carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrafficKind {
+    /// Probes and their answers.
+    Probe,
+    /// Records of members that are new to the sender.
+    Members,
+    /// Loads of agents and questions for them.
+    Load,
+    /// Where a flow is, or that nobody holds or takes it.
+    Owner,
+    /// Records of flows for their directories.
+    Directory,
+    /// Changes of settings.
+    Settings,
+    /// Claims between agents of HTTP/3 services.
+    Claim,
+    /// Messages on TCP connections between processes.
+    Stream,
+    /// Packets that open a flow.
+    Opening,
+    /// Packets of open flows that carry data.
+    Data,
+    /// Packets of open flows without data.
+    Acknowledgement,
+    /// Packets whose owner is searched.
+    Search,
+    /// Resets of our own.
+    Reset,
+}
+
+impl TrafficKind {
+    const ALL: [Self; 13] = [
+        Self::Probe,
+        Self::Members,
+        Self::Load,
+        Self::Owner,
+        Self::Directory,
+        Self::Settings,
+        Self::Claim,
+        Self::Stream,
+        Self::Opening,
+        Self::Data,
+        Self::Acknowledgement,
+        Self::Search,
+        Self::Reset,
+    ];
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Probe => "probe",
+            Self::Members => "members",
+            Self::Load => "load",
+            Self::Owner => "owner",
+            Self::Directory => "directory",
+            Self::Settings => "settings",
+            Self::Claim => "claim",
+            Self::Stream => "stream",
+            Self::Opening => "opening",
+            Self::Data => "data",
+            Self::Acknowledgement => "acknowledgement",
+            Self::Search => "search",
+            Self::Reset => "reset",
+        }
+    }
+}
+
+impl From<&Message> for TrafficKind {
+    fn from(message: &Message) -> Self {
+        match message {
+            Message::Probe(Probe::Records(_)) => Self::Members,
+            Message::Probe(_) => Self::Probe,
+            Message::Load(_) | Message::Flow(FlowMessage::AskLoad) => Self::Load,
+            Message::Flow(FlowMessage::Records(_)) => Self::Directory,
+            Message::Flow(_) => Self::Owner,
+            Message::Pull { .. } | Message::Changes(_) => Self::Settings,
+            Message::Ask { .. } | Message::Reply { .. } => Self::Claim,
+        }
+    }
+}
+
+/// Counts what a process sends and receives, heads of datagrams included.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    sent: Vec<IntCounter>,
+    received: Vec<IntCounter>,
+    unqueued: Arc<AtomicU64>,
+}
+
+impl Traffic {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is taken.
+    pub fn new(registry: &Registry) -> Result<Self, NodeError> {
+        let counters = |name: &str, help: &str| {
+            let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+            let family = IntCounterVec::new(Opts::new(name, help), &["kind"]).map_err(error)?;
+            registry.register(Box::new(family.clone())).map_err(error)?;
+            Ok::<_, NodeError>(
+                TrafficKind::ALL.map(|kind| family.with_label_values(&[kind.label()])).to_vec(),
+            )
+        };
+        Ok(Self {
+            sent: counters("dillmill_link_sent_bytes", "Bytes sent by what they carry")?,
+            received: counters(
+                "dillmill_link_received_bytes",
+                "Bytes received by what they carry",
+            )?,
+            unqueued: Arc::default(),
+        })
+    }
+
+    /// Counts a datagram of `len` bytes that was sent after waiting for the link.
+    pub fn sent(&self, kind: TrafficKind, len: usize) {
+        self.sent[kind as usize].inc_by(bytes(len));
+    }
+
+    /// Counts a datagram of `len` bytes that was sent at once, whatever waits for the link.
+    pub fn sent_at_once(&self, kind: TrafficKind, len: usize) {
+        self.sent(kind, len);
+        self.unqueued.fetch_add(bytes(len), Ordering::Relaxed);
+    }
+
+    /// Returns the bytes sent at once since the start, for whoever makes room for them.
+    #[must_use]
+    pub fn at_once(&self) -> u64 {
+        self.unqueued.load(Ordering::Relaxed)
+    }
+
+    /// Counts a datagram of `len` bytes that was received.
+    pub fn received(&self, kind: TrafficKind, len: usize) {
+        self.received[kind as usize].inc_by(bytes(len));
+    }
+}
+
+fn bytes(len: usize) -> u64 {
+    u64::try_from(wire_bytes(len)).unwrap_or(0)
+}
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -343,6 +343,7 @@
         heartbeat_every: Duration::from_millis(200),
         stop_limit: Duration::from_secs(6),
         drain_limit: Duration::from_secs(3),
+        link: None,
     };
     Ok(Vm { settings, file: PathBuf::new(), process: None, target: None })
 }
