feat(flow): packets that come before anything is known are kept, searches begin again once settled

Cause: after a loss of power some callers on open flows send their last packet before their deadline while balancers are just back (a caller sends at 0, 0.2, 0.6, 1.4 and 3.0 s): such a packet was dropped, as no route or agent was known for some 0.2 s; and no search is sure for 1.2 s, with the next repeat at 1.75 s. Ruled out: slots (27 percent busy), the order of waiting packets (35 wait).

Change: a balancer keeps packets for up to 1 s until a route and an agent are known; searches are repeated 0.25 s after the view is settled, as if they had just begun.

--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod agent_table;
 pub mod caller_packets;
 pub mod claims;
+pub mod early_packets;
 pub mod envelope;
 pub mod event;
 pub mod flow_directory;
@@ -70,6 +71,7 @@
 
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
+pub use early_packets::{EarlyPacket, EarlyPackets};
 pub use envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 pub use event::{Event, EventKind, EventLog};
 pub use flow_directory::{FlowDirectory, FlowRecord};
--- a/crates/dillmill-core/src/link_queue.rs
+++ b/crates/dillmill-core/src/link_queue.rs
@@ -37,7 +37,7 @@
 const WAKE_MIN: Duration = Duration::from_millis(2);
 
 /// Tells a packet of a flow from the others of the flow, but not from its own copies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PacketId {
     kind: SegmentKind,
     seq: u32,
--- a/crates/dillmill-core/src/pending_searches.rs
+++ b/crates/dillmill-core/src/pending_searches.rs
@@ -91,6 +91,18 @@
         due
     }
 
+    /// Has all searches repeated soon: those until `now` could not be sure, as this process did not know all others, and
+    /// those that started a little later still don't.
+    ///
+    /// After a restart of everything no search is sure for a second. Callers who have sent their last packet before they give
+    /// up wait until one is; the next repeat of an early search may come behind their deadline.
+    pub fn begin_again(&mut self, now: Timestamp) {
+        for (_, pending) in self.pending.iter_mut() {
+            pending.repeats = 0;
+            pending.due = now + REPEAT_AFTER;
+        }
+    }
+
     /// Returns the number of packets kept.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/dillmill-core/src/segment.rs
+++ b/crates/dillmill-core/src/segment.rs
@@ -3,7 +3,7 @@
 use crate::FlowTuple;
 
 /// Kind of a packet within its flow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum SegmentKind {
     /// The caller opens a flow.
     Open {
--- a/crates/dillmill-core/tests/pending_searches.rs
+++ b/crates/dillmill-core/tests/pending_searches.rs
@@ -78,3 +78,21 @@
     }
     assert_eq!(searches.end(&flow(1)).len(), 15);
 }
+
+/// Load: everything restarts, and a caller's last packet comes 0.1 s after the balancer's start. Searches are sure from 1.0 to
+/// 1.2 s on. The repeats that thin out come after 0.3, 0.8 and 1.8 s, so the caller would be told 0.6 s after it can be known;
+/// with those that begin again it is told 0.1 s after.
+#[test]
+fn searches_begin_again_once_settled() {
+    let mut searches = PendingSearches::default();
+    searches.begin(flow(1), b"last", START);
+    let until_settled: Vec<u64> = repeats_until(&mut searches, 0, 1000);
+    assert_eq!(until_settled, [300, 800]);
+    searches.begin_again(at(1000));
+    assert_eq!(repeats_until(&mut searches, 1000, 4000), [1300, 1800, 2800]);
+}
+
+fn repeats_until(searches: &mut PendingSearches, from: u64, until: u64) -> Vec<u64> {
+    let ticks = (from..until).step_by(100);
+    ticks.filter(|ms| !searches.take_due(at(*ms)).is_empty()).collect()
+}
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -11,9 +11,10 @@
 use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, Departure, Envelope, Errand, EventKind, FlowPlacement, FlowTuple, LateCallers,
-    LinkAdmission, Owner, OwnerCache, PauseWatch, PendingSearches, RouteEntry, RouteTable, Search,
-    SearchScope, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName, patience,
+    AgentTable, Departure, EarlyPacket, EarlyPackets, Envelope, Errand, EventKind, FlowPlacement,
+    FlowTuple, LateCallers, LinkAdmission, Owner, OwnerCache, PacketId, PauseWatch,
+    PendingSearches, RouteEntry, RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag,
+    Timestamp, ZoneName, patience,
 };
 use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -63,6 +64,7 @@
     uplink: Uplink,
     link_free: flume::Receiver<()>,
     admission: LinkAdmission,
+    early: EarlyPackets,
     control: SocketAddrV4,
     zone: ZoneName,
     caller_port: u16,
@@ -76,6 +78,7 @@
     pauses: PauseWatch,
     started: Timestamp,
     searches: PendingSearches,
+    settled: bool,
     late: LateCallers,
     again: flume::Sender<FlowTuple>,
     repeated: flume::Receiver<FlowTuple>,
@@ -106,6 +109,7 @@
             uplink,
             link_free,
             admission: LinkAdmission::new(settings.link, now),
+            early: EarlyPackets::default(),
             control,
             zone: settings.zone.clone(),
             caller_port: settings.packets.port(),
@@ -119,6 +123,7 @@
             pauses: PauseWatch::new(TICK * 2),
             started: now,
             searches: PendingSearches::default(),
+            settled: false,
             late: LateCallers::default(),
             again,
             repeated,
@@ -145,8 +150,9 @@
                 self.placement.forgive(now);
             }
             if let Some(view) = self.views.newer() {
-                self.take_view(&view);
+                self.take_view(&view, now);
             }
+            self.route_early(now).await;
             match event {
                 Event::Packet(buf) => self.packet(&buf, now).await,
                 Event::Load(report) => self.placement.report(report),
@@ -160,7 +166,11 @@
         }
     }
 
-    fn take_view(&mut self, view: &View) {
+    fn take_view(&mut self, view: &View, now: Timestamp) {
+        if view.settled && !self.settled {
+            self.searches.begin_again(now);
+        }
+        self.settled = view.settled;
         self.agents = AgentTable::new(view.members.iter(), &self.zone);
         self.placement.retain(&self.agents);
         if let Some(routes) = &view.routes
@@ -170,6 +180,29 @@
         }
     }
 
+    /// Returns whether it is known where packets can go: some route, and an agent.
+    fn can_route(&self) -> bool {
+        !self.routes.is_empty() && self.agents.iter().next().is_some()
+    }
+
+    /// Routes the packets that came before anything was known.
+    async fn route_early(&mut self, now: Timestamp) {
+        for EarlyPacket { at, buf } in self.early.take_due(now) {
+            if let Ok(seg) = packet::decode(&buf, Sender::Caller) {
+                self.route_packet(&seg, &buf, at, now).await;
+            }
+        }
+    }
+
+    /// Returns whether a packet may be routed differently in a moment, as this process has only just started.
+    fn is_early(&self, seg: &Segment, now: Timestamp) -> bool {
+        if now.since(self.started) >= YOUNG {
+            return false;
+        }
+        let Some(route) = self.routes.get(seg.flow.route()) else { return self.routes.is_empty() };
+        !route.services().into_iter().any(|s| self.agents.taking_new(s).any(|a| a.slots > 0))
+    }
+
     async fn tick(&mut self, now: Timestamp) {
         self.open_waiting(now).await;
         for flow in self.searches.take_due(now) {
@@ -181,7 +214,7 @@
         let before = self.readiness.get();
         let after = if before == Readiness::Stopping {
             Readiness::Stopping
-        } else if self.routes.is_empty() || self.agents.iter().next().is_none() {
+        } else if !self.can_route() {
             Readiness::Starting
         } else if self.placement.reaches_any(now) {
             Readiness::Ready
@@ -207,24 +240,33 @@
             return self.counters.dropped.inc();
         };
         self.handle.metrics.traffic.received(traffic_kind(&seg), buf.len());
+        self.route_packet(&seg, buf, now, now).await;
+    }
+
+    /// Routes a packet that came at `at`.
+    async fn route_packet(&mut self, seg: &Segment, buf: &[u8], at: Timestamp, now: Timestamp) {
+        if self.is_early(seg, now) {
+            let packet = EarlyPacket { at, buf: buf.to_vec() };
+            return self.early.keep(seg.flow, PacketId::from(seg), packet, now);
+        }
         let routes = self.routes.clone();
         let Some(route) = routes.get(seg.flow.route()) else {
-            return self.no_route(&seg, now).await;
+            return self.no_route(seg, now).await;
         };
         match seg.kind {
             SegmentKind::Open { copies } => {
                 let Some(service) = route.service(&seg.flow) else {
-                    return self.no_route(&seg, now).await;
+                    return self.no_route(seg, now).await;
                 };
-                if self.admit(&seg, copies, service, route, buf, now) {
-                    self.open(&seg, copies, service, buf, now).await;
+                if self.admit(seg, copies, service, route, buf, now) {
+                    self.open(seg, copies, service, buf, now).await;
                 }
             }
             SegmentKind::Accept => self.counters.dropped.inc(),
             SegmentKind::Data | SegmentKind::Finish | SegmentKind::Reset => {
                 let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
-                let upload_ended = self.admission.note(&seg, now);
-                self.forward(&seg, service, &route.services(), buf, now).await;
+                let upload_ended = self.admission.note(seg, now);
+                self.forward(seg, service, &route.services(), buf, now).await;
                 if upload_ended {
                     self.open_waiting(now).await;
                 }
