--- a/crates/dillmill-core/src/envelope.rs
+++ b/crates/dillmill-core/src/envelope.rs
@@ -13,8 +13,6 @@
     Place {
         /// Agents that have passed it on already.
         passed: Vec<ProcessId>,
-        /// The caller has waited on another flow for the same request, which can't be answered in time any more.
-        late: bool,
     },
     /// It belongs to a flow that the sender takes for the agent's.
     Deliver,
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -289,11 +289,11 @@
     ) -> Verdict {
         let arrival = Arrival { seg, env, known, now };
         match (&env.errand, seg.kind) {
-            (Errand::Place { passed, late }, SegmentKind::Open { copies }) => {
+            (Errand::Place { passed }, SegmentKind::Open { copies }) => {
                 if self.opens.note_copy(&seg.flow, copies) {
                     return Verdict::Drop;
                 }
-                self.place(arrival, copies, passed, *late)
+                self.place(arrival, copies, passed)
             }
             (Errand::Place { .. }, _) | (_, SegmentKind::Open { .. } | SegmentKind::Accept) => {
                 Verdict::Drop
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -24,13 +24,12 @@
         arrival: Arrival<'_>,
         copies: u32,
         passed: &[ProcessId],
-        late: bool,
     ) -> Verdict {
         if let Some(verdict) = self.place_elsewhere(arrival, passed) {
             return verdict;
         }
         let Arrival { seg, env, now, .. } = arrival;
-        let terms = self.wait_terms(arrival, copies).late(late);
+        let terms = self.wait_terms(arrival, copies);
         let requests = self.load(now).requests;
         let crowded = self.opens.any_urgent(now);
         if requests >= u32::from(self.slots) || crowded {
@@ -43,7 +42,7 @@
                 return verdict;
             }
             if wait {
-                let errand = Errand::Place { passed: Vec::new(), late };
+                let errand = Errand::Place { passed: Vec::new() };
                 let envelope = Envelope { errand, ..env.clone() };
                 return Verdict::Wait { terms, envelope, tell: tell(env, passed) };
             }
@@ -149,8 +148,7 @@
         self.directory.register(record, now);
         let mut passed = passed.to_vec();
         passed.push(self.me);
-        let late = matches!(env.errand, Errand::Place { late: true, .. });
-        let envelope = Envelope { service, errand: Errand::Place { passed, late }, ..env.clone() };
+        let envelope = Envelope { service, errand: Errand::Place { passed }, ..env.clone() };
         Some(Verdict::Pass { to: next.data, envelope, reason })
     }
 }
--- a/crates/dillmill-core/src/open_queue.rs
+++ b/crates/dillmill-core/src/open_queue.rs
@@ -70,9 +70,6 @@
     pub timeout: Duration,
     /// Copies of it that have come.
     pub copies: u32,
-    /// Its caller has waited on another flow for the same request before: for how long is not known, but the
-    /// answer is late, and the caller may be about to give up.
-    pub late: bool,
 }
 
 /// How much the wait of an opening packet matters at a moment.
@@ -91,7 +88,7 @@
     #[must_use]
     pub fn new(copies: u32, limit: Duration, now: Timestamp) -> Self {
         let since = waiting_since(copies, now);
-        Self { since, limit, patience: LONGEST, timeout: LONGEST, copies, late: false }
+        Self { since, limit, patience: LONGEST, timeout: LONGEST, copies }
     }
 
     /// Sets how long callers of the route are assumed to wait.
@@ -108,17 +105,10 @@
         self
     }
 
-    /// Sets whether the caller has waited on another flow before.
-    #[must_use]
-    pub fn late(mut self, late: bool) -> Self {
-        self.late = late;
-        self
-    }
-
     /// Returns whether the answer can still come in time behind `ahead`, the work of the target.
     #[must_use]
     pub fn in_time(&self, ahead: Duration, now: Timestamp) -> bool {
-        !self.late && now.since(self.since) + ahead <= self.limit
+        now.since(self.since) + ahead <= self.limit
     }
 
     /// Returns how the packet stands at an agent that has run for `age`, if callers wait for `patience`.
@@ -128,7 +118,7 @@
         let ends = waited + URGENT_WITHIN >= patience && last_try;
         if waited >= patience || self.copy_is_missing(waited) {
             Standing::Doubtful
-        } else if ends || self.late && waited < URGENT_WITHIN {
+        } else if ends {
             Standing::Urgent
         } else {
             Standing::Waiting
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -21,11 +21,11 @@
         let gate = &self.gate;
         self.log.flow(now, &seg.flow, "waits", || {
             let (requests, waiting) = (gate.load(now).requests, gate.waiting());
-            let (waited, late) = (age(now.since(terms.since)), terms.late);
+            let waited = age(now.since(terms.since));
             let patience = age(gate.patience(&seg.flow, &terms, now));
             format!(
                 "{requests} requests at the target, {waiting} wait, has waited {waited}, \
-                 late {late}, callers wait {patience}"
+                 callers wait {patience}"
             )
         });
         let open = WaitingOpen { flow: seg.flow, packet, envelope, terms };
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -12,9 +12,9 @@
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Departure, EarlyPacket, EarlyPackets, Envelope, Errand, EventKind, FlowPlacement,
-    FlowTuple, LateCallers, LinkAdmission, Owner, OwnerCache, PacketId, PauseWatch,
-    PendingSearches, RouteEntry, RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag,
-    Timestamp, ZoneName, patience,
+    FlowTuple, LinkAdmission, Owner, OwnerCache, PacketId, PauseWatch, PendingSearches, RouteEntry,
+    RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
+    patience,
 };
 use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -79,7 +79,6 @@
     started: Timestamp,
     searches: PendingSearches,
     settled: bool,
-    late: LateCallers,
     again: flume::Sender<FlowTuple>,
     repeated: flume::Receiver<FlowTuple>,
 }
@@ -124,7 +123,6 @@
             started: now,
             searches: PendingSearches::default(),
             settled: false,
-            late: LateCallers::default(),
             again,
             repeated,
         })
@@ -316,7 +314,7 @@
         self.log.flow(now, &seg.flow, "waits", || {
             format!("uploads under way bring {under_way} bytes over the link, {waiting} wait")
         });
-        let errand = Errand::Place { passed: Vec::new(), late: false };
+        let errand = Errand::Place { passed: Vec::new() };
         let envelope = self.envelope(service, errand);
         let open = WaitingOpen { flow: seg.flow, packet: buf.to_vec(), envelope, terms };
         // One that finds no place waits for its caller's copy.
@@ -381,9 +379,7 @@
             self.admission.begin(seg.flow, now);
         }
         self.owners.set(seg.flow, owner, now);
-        let late = self.late.tries_again(*seg.flow.caller().ip(), now);
-        self.send(seg, service, Errand::Place { passed: Vec::new(), late }, buf, owner.data, now)
-            .await;
+        self.send(seg, service, Errand::Place { passed: Vec::new() }, buf, owner.data, now).await;
     }
 
     /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
@@ -535,7 +531,6 @@
                     return;
                 }
                 self.searches.end(&flow);
-                self.late.told(*flow.caller().ip(), now);
                 self.counters.missing.inc();
                 self.log.flow(now, &flow, "reset", || "no agent holds it, twice".to_owned());
                 self.reset(&flow, caller_expects).await;
--- a/crates/dillmill-standins/src/waiting.rs
+++ b/crates/dillmill-standins/src/waiting.rs
@@ -318,7 +318,7 @@
 }
 
 fn envelope() -> Envelope {
-    let errand = Errand::Place { passed: Vec::new(), late: false };
+    let errand = Errand::Place { passed: Vec::new() };
     Envelope { service: ServiceTag(1), revision: Revision(1), origin: route(), errand }
 }
 
