feat(core): news of members stay near

Ruled out: data of callers (the load is the same at 30, 100 and 300 VMs).

Change: two of the four are in the own data centre.

Virtual time, 60 processes: 57 know after 4 steps as before, 0.36 of the records between data centres (0.67).

--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -23,6 +23,10 @@
 
 /// Others to which a new record is passed at once.
 pub const FANOUT: usize = 4;
+/// How many of them are in any data centre; the rest are in the own one, as bytes between data centres cost. Each process that
+/// hears of a record passes it on, so each data centre still gets it from many sides: of 60 processes in 3 data centres 57 know a
+/// change after 4 steps as before, with 0.36 of the records between data centres in place of 0.67 (`tests/rumour_spread.rs`).
+const FANOUT_ANYWHERE: usize = 2;
 /// Records in one datagram; about 70 bytes each.
 pub const RECORDS_PER_DATAGRAM: usize = 12;
 /// Parts into which records are divided to compare two processes.
@@ -265,14 +269,22 @@
 
     /// Returns up to `n` random peers that are not down.
     pub fn random_peers(&self, n: usize, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
-        let mut peers: Vec<_> =
-            self.others().filter(|m| m.status != MemberStatus::Down).map(|m| m.control).collect();
-        let n = n.min(peers.len());
-        for i in 0..n {
-            let j = i + draw(peers.len() - i);
-            peers.swap(i, j);
-        }
-        peers.truncate(n);
+        let up = self.others().filter(|m| m.status != MemberStatus::Down);
+        draw_some(up.map(|m| m.control).collect(), n, draw)
+    }
+
+    /// Returns the peers to which new records are passed.
+    fn rumour_peers(&self, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
+        let near: Vec<_> = self
+            .others()
+            .filter(|m| m.status != MemberStatus::Down && m.zone == self.me.zone)
+            .map(|m| m.control)
+            .collect();
+        let near = draw_some(near, FANOUT - FANOUT_ANYWHERE, draw);
+        let mut peers = self.random_peers(FANOUT, draw);
+        peers.retain(|peer| !near.contains(peer));
+        peers.truncate(FANOUT - near.len());
+        peers.extend(near);
         peers
     }
 
@@ -509,7 +521,7 @@
                 .iter()
                 .filter_map(|p| self.record(*p))
                 .collect();
-            for to in self.random_peers(FANOUT, draw) {
+            for to in self.rumour_peers(draw) {
                 out.push(Outgoing { to, probe: Probe::Records(records.clone()) });
             }
         }
@@ -613,6 +625,17 @@
     }
 }
 
+/// Returns up to `n` of `peers`, drawn at random.
+fn draw_some(mut peers: Vec<SocketAddrV4>, n: usize, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
+    let n = n.min(peers.len());
+    for i in 0..n {
+        let j = i + draw(peers.len() - i);
+        peers.swap(i, j);
+    }
+    peers.truncate(n);
+    peers
+}
+
 fn bucket(process: ProcessId) -> usize {
     usize::try_from(process.0 % BUCKETS as u64).unwrap_or(0)
 }
