--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -7,14 +7,11 @@
 use std::time::Duration;
 
 use compio::net::UdpSocket;
-use dillmill_core::open_queue::WaitingOpen;
-use dillmill_core::owner_cache::MISSING_AGAIN;
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
     AgentTable, Departure, EarlyPacket, EarlyPackets, Envelope, Errand, EventKind, FlowPlacement,
-    FlowTuple, LinkAdmission, Owner, OwnerCache, PacketId, PauseWatch, PendingSearches, RouteEntry,
-    RouteTable, Search, SearchScope, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
-    patience,
+    FlowTuple, LinkAdmission, Owner, OwnerCache, PacketId, PauseWatch, PendingSearches, RouteTable,
+    SearchScope, Segment, SegmentKind, ServiceTag, Timestamp, ZoneName,
 };
 use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, Views};
 use dillmill_platform::ProcessSettings;
@@ -27,6 +24,9 @@
 use crate::sockets::{datagrams, ticks};
 use crate::uplink::{Uplink, traffic_kind};
 
+mod opening;
+mod searching;
+
 /// Time between two looks at agents that do not answer.
 const TICK: Duration = Duration::from_millis(100);
 /// For this long after its start a balancer may not know all agents.
@@ -287,168 +287,6 @@
         self.reset(&seg.flow, seq).await;
     }
 
-    /// Returns whether a new flow may begin; if not, its opening packet waits until the link can carry it.
-    fn admit(
-        &mut self,
-        seg: &Segment,
-        copies: u32,
-        service: ServiceTag,
-        route: &RouteEntry,
-        buf: &[u8],
-        now: Timestamp,
-    ) -> bool {
-        if self.admission.note_copy(&seg.flow, copies) {
-            return false;
-        }
-        if copies > 0 && self.owners.get(&seg.flow, now).is_some() {
-            return true;
-        }
-        let patience = patience::assumed(route.timeout, route.repeatable);
-        let terms = LinkAdmission::terms(copies, route.latency_aim, now)
-            .patience(patience)
-            .timeout(route.timeout.unwrap_or(patience));
-        if self.admission.admits(seg.flow.route(), &terms, self.uplink.queued(), now) {
-            return true;
-        }
-        let (under_way, waiting) = (self.admission.under_way(), self.admission.waiting());
-        self.log.flow(now, &seg.flow, "waits", || {
-            format!("uploads under way bring {under_way} bytes over the link, {waiting} wait")
-        });
-        let errand = Errand::Place { passed: Vec::new() };
-        let envelope = self.envelope(service, errand);
-        let open = WaitingOpen { flow: seg.flow, packet: buf.to_vec(), envelope, terms };
-        // One that finds no place waits for its caller's copy.
-        if self.admission.wait(open).is_some() {
-            self.counters.dropped.inc();
-        }
-        false
-    }
-
-    /// Opens the flows that have waited for the link and have their turn.
-    async fn open_waiting(&mut self, now: Timestamp) {
-        for open in self.admission.take_lost(now) {
-            self.counters.refused.inc();
-            self.log.flow(now, &open.flow, "refused", || "waited for the link in vain".to_owned());
-            self.reset(&open.flow, 0).await;
-        }
-        while let Some(open) = self.admission.next(self.uplink.queued(), now) {
-            let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { continue };
-            let routes = self.routes.clone();
-            let service = routes.get(seg.flow.route()).and_then(|route| route.service(&seg.flow));
-            let Some(service) = service else {
-                self.no_route(&seg, now).await;
-                continue;
-            };
-            self.open(&seg, open.terms.copies, service, &open.packet, now).await;
-        }
-    }
-
-    /// Gives a new flow to an agent; a copy goes to the same one unless that is silent.
-    async fn open(
-        &mut self,
-        seg: &Segment,
-        copies: u32,
-        service: ServiceTag,
-        buf: &[u8],
-        now: Timestamp,
-    ) {
-        let before = self.owners.get(&seg.flow, now).filter(|_| copies > 0);
-        let again = before.filter(|owner| {
-            !self.placement.silent(owner.process, now)
-                && self.agents.taking_new(service).any(|a| a.data == owner.data)
-        });
-        let (owner, near) = if let Some(owner) = again {
-            (owner, true)
-        } else {
-            let not = before.map(|owner| owner.process);
-            let Some(agent) = self.placement.place(&seg.flow, service, &self.agents, not, now)
-            else {
-                return self.refuse(seg, service, now).await;
-            };
-            (Owner { process: agent.process, data: agent.data }, agent.near)
-        };
-        self.counters.placed.inc();
-        if !near {
-            self.counters.placed_far.inc();
-        }
-        let revision = self.routes.revision;
-        self.log.flow(now, &seg.flow, format_args!("placed at {}", owner.process), || {
-            format!("service {service}, revision {revision}, copies {copies}, near {near}")
-        });
-        if before.is_none() {
-            self.admission.begin(seg.flow, now);
-        }
-        self.owners.set(seg.flow, owner, now);
-        self.send(seg, service, Errand::Place { passed: Vec::new() }, buf, owner.data, now).await;
-    }
-
-    /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
-    /// balancer that has only just started may not know all agents yet, and waits for the copy.
-    async fn refuse(&mut self, seg: &Segment, service: ServiceTag, now: Timestamp) {
-        if now.since(self.started) < YOUNG {
-            return self.counters.dropped.inc();
-        }
-        self.counters.refused.inc();
-        self.log.flow(now, &seg.flow, "refused", || format!("no agent of service {service}"));
-        self.reset(&seg.flow, 0).await;
-    }
-
-    /// Sends a packet of an open flow to its owner, or has the owner searched.
-    async fn forward(
-        &mut self,
-        seg: &Segment,
-        service: ServiceTag,
-        services: &[ServiceTag],
-        buf: &[u8],
-        now: Timestamp,
-    ) {
-        self.placement.count_bytes(service, u64::from(seg.len));
-        let known = self.owners.get(&seg.flow, now);
-        if let Some(owner) = known.filter(|owner| self.agents.at(owner.data).is_some()) {
-            return self.send(seg, service, Errand::Deliver, buf, owner.data, now).await;
-        }
-        self.search(seg, service, services, buf, now).await;
-    }
-
-    /// Has the owner of a flow searched, and keeps the packet until that is done.
-    async fn search(
-        &mut self,
-        seg: &Segment,
-        service: ServiceTag,
-        services: &[ServiceTag],
-        buf: &[u8],
-        now: Timestamp,
-    ) {
-        if seg.wants_answer() && !self.searches.begin(seg.flow, buf, now) {
-            return;
-        }
-        let scope = SearchScope::All;
-        self.send_search(seg, service, services, buf, scope, now).await;
-    }
-
-    async fn send_search(
-        &mut self,
-        seg: &Segment,
-        service: ServiceTag,
-        services: &[ServiceTag],
-        buf: &[u8],
-        scope: SearchScope,
-        now: Timestamp,
-    ) {
-        self.counters.searched.inc();
-        let Some((place, first)) =
-            self.agents.next_in_search(&seg.flow, services, None, None).map(|(p, a)| (p, a.data))
-        else {
-            return self.counters.dropped.inc();
-        };
-        self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
-            format!("owner not known or gone, {} agents", self.agents.iter().count())
-        });
-        let place = Some(place);
-        let errand = Errand::Search(Search { place, steps: 1, sure: true, scope });
-        self.send(seg, service, errand, buf, first, now).await;
-    }
-
     async fn send(
         &mut self,
         seg: &Segment,
@@ -480,46 +318,6 @@
         self.uplink.send_at_once(TrafficKind::Reset, reset, to).await;
     }
 
-    /// Has a search that found nobody repeated: the caller's own next try may come too late.
-    fn search_later(&self, flow: FlowTuple) {
-        let again = self.again.clone();
-        compio::runtime::spawn(async move {
-            compio::time::sleep(MISSING_AGAIN).await;
-            // Fails only when the task has ended.
-            let _ = again.send(flow);
-        })
-        .detach();
-    }
-
-    async fn search_again(&mut self, flow: FlowTuple, scope: SearchScope, now: Timestamp) {
-        let owner = self.owners.get(&flow, now);
-        if owner.is_some_and(|owner| self.agents.at(owner.data).is_some()) {
-            self.searches.end(&flow);
-            return;
-        }
-        let routes = self.routes.clone();
-        let Some(route) = routes.get(flow.route()) else {
-            self.searches.end(&flow);
-            return;
-        };
-        let Some(buf) = self.searches.repeat(&flow, now) else { return };
-        let Ok(seg) = packet::decode(&buf, Sender::Caller) else { return };
-        let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
-        self.send_search(&seg, service, &route.services(), &buf, scope, now).await;
-    }
-
-    /// Remembers the owner of a flow, and sends it the packets that have waited for that.
-    async fn found(&mut self, flow: FlowTuple, owner: Owner, now: Timestamp) {
-        self.owners.set(flow, owner, now);
-        let agent = self.agents.at(owner.data).map(|agent| agent.service);
-        for buf in self.searches.end(&flow) {
-            if let Some(service) = agent {
-                let Ok(seg) = packet::decode(&buf, Sender::Caller) else { continue };
-                self.send(&seg, service, Errand::Deliver, &buf, owner.data, now).await;
-            }
-        }
-    }
-
     async fn message(&mut self, message: FlowMessage, now: Timestamp) {
         match message {
             FlowMessage::Owner { flow, owner, data } => {
--- /dev/null
+++ b/crates/dillmill-flow/src/balancer_task/opening.rs
@@ -0,0 +1,117 @@
+//! What a balancer does with packets that open flows.
+
+use dillmill_core::open_queue::WaitingOpen;
+use dillmill_core::{
+    Errand, LinkAdmission, Owner, RouteEntry, Segment, ServiceTag, Timestamp, patience,
+};
+use dillmill_platform::packet::{self, Sender};
+
+use super::{BalancerTask, YOUNG};
+
+impl BalancerTask {
+    /// Returns whether a new flow may begin; if not, its opening packet waits until the link can carry it.
+    pub(super) fn admit(
+        &mut self,
+        seg: &Segment,
+        copies: u32,
+        service: ServiceTag,
+        route: &RouteEntry,
+        buf: &[u8],
+        now: Timestamp,
+    ) -> bool {
+        if self.admission.note_copy(&seg.flow, copies) {
+            return false;
+        }
+        if copies > 0 && self.owners.get(&seg.flow, now).is_some() {
+            return true;
+        }
+        let patience = patience::assumed(route.timeout, route.repeatable);
+        let terms = LinkAdmission::terms(copies, route.latency_aim, now)
+            .patience(patience)
+            .timeout(route.timeout.unwrap_or(patience));
+        if self.admission.admits(seg.flow.route(), &terms, self.uplink.queued(), now) {
+            return true;
+        }
+        let (under_way, waiting) = (self.admission.under_way(), self.admission.waiting());
+        self.log.flow(now, &seg.flow, "waits", || {
+            format!("uploads under way bring {under_way} bytes over the link, {waiting} wait")
+        });
+        let errand = Errand::Place { passed: Vec::new() };
+        let envelope = self.envelope(service, errand);
+        let open = WaitingOpen { flow: seg.flow, packet: buf.to_vec(), envelope, terms };
+        // One that finds no place waits for its caller's copy.
+        if self.admission.wait(open).is_some() {
+            self.counters.dropped.inc();
+        }
+        false
+    }
+
+    /// Opens the flows that have waited for the link and have their turn.
+    pub(super) async fn open_waiting(&mut self, now: Timestamp) {
+        for open in self.admission.take_lost(now) {
+            self.counters.refused.inc();
+            self.log.flow(now, &open.flow, "refused", || "waited for the link in vain".to_owned());
+            self.reset(&open.flow, 0).await;
+        }
+        while let Some(open) = self.admission.next(self.uplink.queued(), now) {
+            let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { continue };
+            let routes = self.routes.clone();
+            let service = routes.get(seg.flow.route()).and_then(|route| route.service(&seg.flow));
+            let Some(service) = service else {
+                self.no_route(&seg, now).await;
+                continue;
+            };
+            self.open(&seg, open.terms.copies, service, &open.packet, now).await;
+        }
+    }
+
+    /// Gives a new flow to an agent; a copy goes to the same one unless that is silent.
+    pub(super) async fn open(
+        &mut self,
+        seg: &Segment,
+        copies: u32,
+        service: ServiceTag,
+        buf: &[u8],
+        now: Timestamp,
+    ) {
+        let before = self.owners.get(&seg.flow, now).filter(|_| copies > 0);
+        let again = before.filter(|owner| {
+            !self.placement.silent(owner.process, now)
+                && self.agents.taking_new(service).any(|a| a.data == owner.data)
+        });
+        let (owner, near) = if let Some(owner) = again {
+            (owner, true)
+        } else {
+            let not = before.map(|owner| owner.process);
+            let Some(agent) = self.placement.place(&seg.flow, service, &self.agents, not, now)
+            else {
+                return self.refuse(seg, service, now).await;
+            };
+            (Owner { process: agent.process, data: agent.data }, agent.near)
+        };
+        self.counters.placed.inc();
+        if !near {
+            self.counters.placed_far.inc();
+        }
+        let revision = self.routes.revision;
+        self.log.flow(now, &seg.flow, format_args!("placed at {}", owner.process), || {
+            format!("service {service}, revision {revision}, copies {copies}, near {near}")
+        });
+        if before.is_none() {
+            self.admission.begin(seg.flow, now);
+        }
+        self.owners.set(seg.flow, owner, now);
+        self.send(seg, service, Errand::Place { passed: Vec::new() }, buf, owner.data, now).await;
+    }
+
+    /// Refuses a new flow that no agent can take, so that the caller's next try comes soon. A
+    /// balancer that has only just started may not know all agents yet, and waits for the copy.
+    async fn refuse(&mut self, seg: &Segment, service: ServiceTag, now: Timestamp) {
+        if now.since(self.started) < YOUNG {
+            return self.counters.dropped.inc();
+        }
+        self.counters.refused.inc();
+        self.log.flow(now, &seg.flow, "refused", || format!("no agent of service {service}"));
+        self.reset(&seg.flow, 0).await;
+    }
+}
--- /dev/null
+++ b/crates/dillmill-flow/src/balancer_task/searching.rs
@@ -0,0 +1,112 @@
+//! How a balancer finds the agents of open flows.
+
+use dillmill_core::owner_cache::MISSING_AGAIN;
+use dillmill_core::{
+    Errand, FlowTuple, Owner, Search, SearchScope, Segment, ServiceTag, Timestamp,
+};
+use dillmill_platform::packet::{self, Sender};
+
+use super::BalancerTask;
+
+impl BalancerTask {
+    /// Sends a packet of an open flow to its owner, or has the owner searched.
+    pub(super) async fn forward(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        now: Timestamp,
+    ) {
+        self.placement.count_bytes(service, u64::from(seg.len));
+        let known = self.owners.get(&seg.flow, now);
+        if let Some(owner) = known.filter(|owner| self.agents.at(owner.data).is_some()) {
+            return self.send(seg, service, Errand::Deliver, buf, owner.data, now).await;
+        }
+        self.search(seg, service, services, buf, now).await;
+    }
+
+    /// Has the owner of a flow searched, and keeps the packet until that is done.
+    async fn search(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        now: Timestamp,
+    ) {
+        if seg.wants_answer() && !self.searches.begin(seg.flow, buf, now) {
+            return;
+        }
+        let scope = SearchScope::All;
+        self.send_search(seg, service, services, buf, scope, now).await;
+    }
+
+    async fn send_search(
+        &mut self,
+        seg: &Segment,
+        service: ServiceTag,
+        services: &[ServiceTag],
+        buf: &[u8],
+        scope: SearchScope,
+        now: Timestamp,
+    ) {
+        self.counters.searched.inc();
+        let Some((place, first)) =
+            self.agents.next_in_search(&seg.flow, services, None, None).map(|(p, a)| (p, a.data))
+        else {
+            return self.counters.dropped.inc();
+        };
+        self.log.flow(now, &seg.flow, format_args!("searched from {first}"), || {
+            format!("owner not known or gone, {} agents", self.agents.iter().count())
+        });
+        let place = Some(place);
+        let errand = Errand::Search(Search { place, steps: 1, sure: true, scope });
+        self.send(seg, service, errand, buf, first, now).await;
+    }
+
+    /// Has a search that found nobody repeated: the caller's own next try may come too late.
+    pub(super) fn search_later(&self, flow: FlowTuple) {
+        let again = self.again.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(MISSING_AGAIN).await;
+            // Fails only when the task has ended.
+            let _ = again.send(flow);
+        })
+        .detach();
+    }
+
+    pub(super) async fn search_again(
+        &mut self,
+        flow: FlowTuple,
+        scope: SearchScope,
+        now: Timestamp,
+    ) {
+        let owner = self.owners.get(&flow, now);
+        if owner.is_some_and(|owner| self.agents.at(owner.data).is_some()) {
+            self.searches.end(&flow);
+            return;
+        }
+        let routes = self.routes.clone();
+        let Some(route) = routes.get(flow.route()) else {
+            self.searches.end(&flow);
+            return;
+        };
+        let Some(buf) = self.searches.repeat(&flow, now) else { return };
+        let Ok(seg) = packet::decode(&buf, Sender::Caller) else { return };
+        let service = route.shares.first().map_or(ServiceTag(0), |(s, _)| *s);
+        self.send_search(&seg, service, &route.services(), &buf, scope, now).await;
+    }
+
+    /// Remembers the owner of a flow, and sends it the packets that have waited for that.
+    pub(super) async fn found(&mut self, flow: FlowTuple, owner: Owner, now: Timestamp) {
+        self.owners.set(flow, owner, now);
+        let agent = self.agents.at(owner.data).map(|agent| agent.service);
+        for buf in self.searches.end(&flow) {
+            if let Some(service) = agent {
+                let Ok(seg) = packet::decode(&buf, Sender::Caller) else { continue };
+                self.send(&seg, service, Errand::Deliver, &buf, owner.data, now).await;
+            }
+        }
+    }
+}
--- a/crates/dillmill-flow/src/lib.rs
+++ b/crates/dillmill-flow/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | Module | Job |
 //! |---|---|
-//! | [`balancer`], [`balancer_task`] | takes packets of callers, chooses agents |
+//! | [`balancer`], [`balancer_task`] | takes packets of callers, opens flows, searches owners |
 //! | [`agent`], [`agent_task`] | last word before a target; finds flows again |
 //! | [`registrations`] | tells directories about the flows of a target |
 //! | [`session`] | the process's entry in the store, and who else is there |
