--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cyper::Client;
-use dillmill_core::{Interval, Revision, ServiceName, Weight};
+use dillmill_core::{Interval, LinkRate, Revision, ServiceName, Weight};
 use dillmill_platform::store_protocol::DOCUMENT_KEY;
 use dillmill_platform::{LeaseId, ProcessSettings, Store, document};
 use dillmill_settings::{Route, RouteTree};
@@ -26,6 +26,7 @@
 const READINESS: u16 = 18167;
 const HEARTBEATS: u16 = 18166;
 const TARGET: u16 = 18165;
+const METRICS: u16 = 18164;
 const STORE: u16 = 18169;
 const OWN_PORTS: (u16, u16) = (17720, 17735);
 const POLL: Duration = Duration::from_millis(25);
@@ -68,6 +69,19 @@
     ///
     /// Fails when a process can't be started or is not ready in time.
     pub async fn start(balancers: u8, services: &[(&str, u8)]) -> Result<Self, StandinError> {
+        Self::start_behind(None, balancers, services).await
+    }
+
+    /// The same, with balancers that are told that their links are of this rate.
+    ///
+    /// # Errors
+    ///
+    /// As [`start`](Self::start).
+    pub async fn start_behind(
+        link: Option<LinkRate>,
+        balancers: u8,
+        services: &[(&str, u8)],
+    ) -> Result<Self, StandinError> {
         let dir = tempfile::tempdir().map_err(StandinError::at("make a folder"))?;
         let mut rng = rand::rng();
         let net = (rng.random_range(16..=250), rng.random_range(1..=247));
@@ -86,7 +100,9 @@
         let mut vms = BTreeMap::new();
         for n in 1..=balancers {
             let name = format!("balancer-{n}");
-            vms.insert(name.clone(), make_vm(&name, ip(host()), None, proxy_addr, first)?);
+            let mut vm = make_vm(&name, ip(host()), None, proxy_addr, first)?;
+            vm.settings.link = link;
+            vms.insert(name, vm);
         }
         for (service, targets) in services {
             for n in 1..=*targets {
@@ -145,7 +161,7 @@
         std::fs::write(&vm.file, vm.settings.to_string())
             .map_err(StandinError::at("write settings"))?;
         let role = if vm.settings.service.is_some() { "agent" } else { "balancer" };
-        let args = [role.to_owned(), "--platform".to_owned()];
+        let args = [role, "--platform", "--metrics-port", &METRICS.to_string()].map(str::to_owned);
         let env = [(dillmill_platform::process_settings::PATH_VARIABLE, vm.file.as_path())];
         let process = Process::spawn_with(name, &program("dillmill")?, &args, &env, &dir)?;
         vm.process = Some(process);
@@ -250,6 +266,20 @@
         Ok(process.ok_or_else(|| StandinError::new("read the log", name))?.log())
     }
 
+    /// Returns the value of a metric of a VM's process.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not answer or has no such metric.
+    pub async fn metric(&mut self, vm: &str, name: &str) -> Result<f64, StandinError> {
+        let step = || StandinError::at("read a metric");
+        let url = format!("http://{}:{METRICS}/metrics", self.vm(vm)?.settings.ip);
+        let req = Client::new().map_err(step())?.get(url).map_err(step())?;
+        let text = req.send().await.map_err(step())?.text().await.map_err(step())?;
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        value.ok_or_else(|| StandinError::new("read a metric", name))
+    }
+
     /// Writes a configuration whose only route leads to `service`.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -28,6 +28,11 @@
 const TARGETS: u8 = 3;
 const BALANCERS: u8 = 3;
 const SETTLE: Duration = Duration::from_secs(20);
+/// Seeds from this one on are played with balancers that have thin links, so that packets wait there. Earlier ones stay as they
+/// were when they failed.
+const THIN_FROM: u64 = 300;
+/// Some 100 kB a second: the callers' packets and the messages between processes fill it now and then.
+const THIN_LINK: &str = "0.8 Mbit/s";
 
 /// What came of a soak.
 #[derive(Debug, Default)]
@@ -101,7 +106,9 @@
 /// Fails when the fleet can't be started or does not recover.
 pub async fn run(seed: u64, length: Duration) -> Result<SoakReport, StandinError> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fleet = FlowFleet::start(BALANCERS, &SERVICES.map(|s| (s, TARGETS))).await?;
+    let link = THIN_LINK.parse().ok().filter(|_| seed >= THIN_FROM);
+    let services = SERVICES.map(|s| (s, TARGETS));
+    let mut fleet = FlowFleet::start_behind(link, BALANCERS, &services).await?;
     let started = Instant::now();
     let names: Vec<String> = SERVICES
         .iter()
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -6,6 +6,7 @@
 use dillmill_standins::flow_fleet::wait;
 use dillmill_standins::platform::PlatformFaults;
 use dillmill_standins::{FlowCaller, FlowEnd, FlowFleet, OpenFlow, StandinError};
+use futures_util::future::join_all;
 
 const LIMIT: Duration = Duration::from_secs(15);
 
@@ -241,3 +242,28 @@
         Ok(())
     });
 }
+
+/// Load: 16 callers send requests at the same moment through balancers with 0.25 Mbit/s. Packets that find the link full wait and
+/// leave by the timer, none is lost, and the flows stay where they are.
+#[test]
+fn packets_wait_for_a_thin_link() {
+    on_runtime(async {
+        let link = "0.25 Mbit/s".parse().ok();
+        let mut fleet = FlowFleet::start_behind(link, 2, &[("orders", 3)]).await?;
+        let caller = fleet.caller(0).await?;
+        let mut flows = open(&caller, &fleet, 16).await;
+        let owners = ask(&mut flows).await;
+        assert!(owners.iter().all(Result::is_ok), "{owners:?}");
+        for _ in 0..3 {
+            let answers = join_all(flows.iter_mut().map(OpenFlow::request)).await;
+            assert_eq!(answers, owners);
+        }
+        let mut waited = 0.0;
+        for balancer in ["balancer-1", "balancer-2"] {
+            waited += fleet.metric(balancer, "dillmill_link_waited").await?;
+            assert!(fleet.metric(balancer, "dillmill_link_dropped").await? < 1.0);
+        }
+        assert!(waited > 0.0);
+        Ok(())
+    });
+}
