feat: data centres that are to get no new flows

Ruled out: an order for each agent as its own word (an agent that is cut off would not hear it; the balancers would still send there).

Change: the watchers of the configuration watch all that operators keep, in the same call. The orders that hold travel as a whole, with the store's revision at which they stood: pushed like a rumour when they change, compared with each probe, told with each comparison of records, so that a process that joins knows them before it can place a flow. Balancers place nothing there, agents pass opening packets on, those that wait included; open flows stay. Where no data centre is left, new flows are refused at once. A balancer forgets the load of an agent whose data centre is taken back. Names that are none are logged and ignored. dillmillctl status shows the orders and the flows still open there.

--- a/crates/dillmill-core/src/agent_table.rs
+++ b/crates/dillmill-core/src/agent_table.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::envelope::SearchPlace;
-use crate::{FlowTuple, Member, MemberStatus, ProcessId, Role, ServiceTag, ZoneName};
+use crate::{Evacuations, FlowTuple, Member, MemberStatus, ProcessId, Role, ServiceTag, ZoneName};
 
 /// Agents that remember the owner of a flow besides the owner itself.
 ///
@@ -34,6 +34,8 @@
     pub status: MemberStatus,
     /// Slots of its target.
     pub slots: u16,
+    /// Its data centre is to get no new flows.
+    pub evacuated: bool,
 }
 
 /// All agents that are not known to be down, but for those without a target: no flow can be there, and their VMs
@@ -57,9 +59,10 @@
                     control: m.control,
                     service: service.into(),
                     near: m.zone == *zone,
-                    zone_seed: xxh3_64(m.zone.as_str().as_bytes()),
+                    zone_seed: zone_seed(&m.zone),
                     status: m.status,
                     slots: m.weight.0,
+                    evacuated: false,
                 }),
                 Role::Balancer => None,
             })
@@ -67,6 +70,16 @@
         Self { agents }
     }
 
+    /// Marks the agents of data centres that are to get no new flows.
+    #[must_use]
+    pub fn evacuating(mut self, evacuations: &Evacuations) -> Self {
+        let seeds: Vec<u64> = evacuations.zones().map(zone_seed).collect();
+        for agent in &mut self.agents {
+            agent.evacuated = seeds.contains(&agent.zone_seed);
+        }
+        self
+    }
+
     /// Returns all agents.
     pub fn iter(&self) -> impl Iterator<Item = &AgentEntry> {
         self.agents.iter()
@@ -86,19 +99,31 @@
     }
 
     /// Returns the agents of `service` that take new flows: those that serve, or, where none does, those that do not
-    /// answer.
+    /// answer; none of an evacuated data centre.
     ///
     /// All agents of a small service may stand still at once. They are mostly back before their callers give up, who would use
     /// up three tries within milliseconds on being told that there is nobody: 288 and 344 new flows of a day on which three
     /// agents stood still for 3 s were ended so.
     pub fn taking_new(&self, service: ServiceTag) -> impl Iterator<Item = &AgentEntry> {
         let with = move |status| {
-            self.agents.iter().filter(move |a| a.service == service && a.status == status)
+            let open = self.agents.iter().filter(move |a| a.service == service && !a.evacuated);
+            open.filter(move |a| a.status == status)
         };
         let none_serves = with(MemberStatus::Serving).next().is_none();
         with(if none_serves { MemberStatus::Suspect } else { MemberStatus::Serving })
     }
 
+    /// Returns whether agents of `service` take no new flows only because their data centres are evacuated.
+    #[must_use]
+    pub fn all_evacuated(&self, service: ServiceTag) -> bool {
+        let mut serving = self
+            .agents
+            .iter()
+            .filter(|a| a.service == service && a.status == MemberStatus::Serving)
+            .peekable();
+        serving.peek().is_some() && serving.all(|a| a.evacuated)
+    }
+
     /// Returns the agents that remember the owner of `flow`: of all services, so that a route that
     /// moves to another service changes nothing.
     #[must_use]
@@ -166,6 +191,10 @@
     zone | flow.score(address_seed(agent.control)) & !ZONE_BITS
 }
 
+fn zone_seed(zone: &ZoneName) -> u64 {
+    xxh3_64(zone.as_str().as_bytes())
+}
+
 fn address_seed(addr: SocketAddrV4) -> u64 {
     (u64::from(u32::from(*addr.ip())) << 16) | u64::from(addr.port())
 }
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// Why new flows go elsewhere, whatever the target does.
+#[derive(Debug, Clone, Copy, Default)]
+struct Closed {
+    /// The agent itself ends.
+    stopping: bool,
+    /// The data centre is to get no new flows.
+    evacuated: bool,
+}
+
 /// The state of an agent before its target.
 #[derive(Debug)]
 pub struct FlowGate {
@@ -96,7 +105,7 @@
     target_cold: bool,
     /// Since when there is no target.
     no_target_since: Option<Timestamp>,
-    stopping: bool,
+    closed: Closed,
     started: Timestamp,
     heartbeat_every: Duration,
     /// The target has started after the agent, so that every flow of it is known.
@@ -126,7 +135,7 @@
             presence: TargetPresence::Unknown,
             target_cold: false,
             no_target_since: None,
-            stopping: false,
+            closed: Closed::default(),
             started: now,
             heartbeat_every: HEARTBEAT_EVERY,
             sees_all: false,
@@ -209,7 +218,12 @@
 
     /// The agent itself ends: new flows go elsewhere from now on.
     pub fn stop(&mut self) {
-        self.stopping = true;
+        self.closed.stopping = true;
+    }
+
+    /// Sets whether the agent's data centre is to get no new flows.
+    pub fn set_evacuated(&mut self, evacuated: bool) {
+        self.closed.evacuated = evacuated;
     }
 
     /// Another run of the target has spoken.
@@ -257,10 +271,16 @@
         self.slots
     }
 
-    /// Returns whether the target takes new flows.
+    /// Returns whether the target is given new flows.
     #[must_use]
     pub fn takes_new(&self, now: Timestamp) -> bool {
-        !self.stopping
+        !self.closed.evacuated && self.can_serve(now)
+    }
+
+    /// Returns whether the target could take new flows, wherever it is.
+    #[must_use]
+    pub fn can_serve(&self, now: Timestamp) -> bool {
+        !self.closed.stopping
             && !self.target_silent(now)
             && match self.standing {
                 TargetStanding::Ready => true,
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -69,7 +69,9 @@
         }
         if !self.takes_new(now) {
             let refused = self.refuse(RefuseReason::NoTarget, env, passed);
-            let passed = self.pass_on(arrival, service, passed, PassReason::Leaving);
+            let reason =
+                if self.closed.evacuated { PassReason::Evacuated } else { PassReason::Leaving };
+            let passed = self.pass_on(arrival, service, passed, reason);
             return Some(passed.unwrap_or(refused));
         }
         if self.target_failing(now) && passed.len() < PLACE_HOPS {
--- a/crates/dillmill-core/src/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow_gate/verdict.rs
@@ -37,6 +37,8 @@
     OtherService,
     /// The target is leaving or gone.
     Leaving,
+    /// The data centre is to get no new flows.
+    Evacuated,
     /// The target has broken off several requests in a row.
     Failing,
     /// The target has no free slot; another one near may have.
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -44,6 +44,22 @@
     unanswered: Option<Timestamp>,
     asked: Timestamp,
     control: SocketAddrV4,
+    /// Its data centre was evacuated when the table of agents was last taken in.
+    evacuated: bool,
+}
+
+impl Load {
+    /// Returns the load of an agent that nothing is known of.
+    fn idle(agent: &AgentEntry) -> Self {
+        Self {
+            report: LoadReport::idle(agent.process, agent.slots),
+            sent: 0,
+            unanswered: None,
+            asked: Timestamp::default(),
+            control: agent.control,
+            evacuated: agent.evacuated,
+        }
+    }
 }
 
 /// What a balancer knows of the load of agents.
@@ -79,13 +95,13 @@
     pub fn retain(&mut self, agents: &AgentTable) {
         self.loads.retain(|process, _| agents.get(*process).is_some());
         for agent in agents.iter() {
-            self.loads.entry(agent.process).or_insert_with(|| Load {
-                report: LoadReport::idle(agent.process, agent.slots),
-                sent: 0,
-                unanswered: None,
-                asked: Timestamp::default(),
-                control: agent.control,
-            });
+            let idle = Load::idle(agent);
+            let load = self.loads.entry(agent.process).or_insert(idle);
+            // What it last reported is that it takes nothing, and it reports only to those that send it flows.
+            if load.evacuated && !agent.evacuated {
+                *load = idle;
+            }
+            load.evacuated = agent.evacuated;
         }
     }
 
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`flow_placement`] | which agent a balancer gives a new packet flow to |
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`agent_table`] | in which order agents are asked for the owner of a flow |
+//! | [`evacuations`] | which data centres are to get no new flows |
 //! | [`open_queue`] | which opening packet comes next at a target with too much to do |
 //! | [`patience`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that fails requests is set aside |
@@ -33,6 +34,7 @@
 pub mod claims;
 pub mod early_packets;
 pub mod envelope;
+pub mod evacuations;
 pub mod event;
 pub mod flow_directory;
 pub mod flow_gate;
@@ -74,6 +76,7 @@
 pub use caller_packets::CallerPackets;
 pub use early_packets::{EarlyPacket, EarlyPackets};
 pub use envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
+pub use evacuations::{EvacuationChange, Evacuations};
 pub use event::{Event, EventKind, EventLog};
 pub use flow_directory::{FlowDirectory, FlowRecord};
 pub use flow_gate::FlowGate;
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -105,6 +105,7 @@
     last_compared: Option<Timestamp>,
     pauses: PauseWatch,
     revision: Revision,
+    evacuations: Revision,
     /// Peers to compare all records with.
     wants_sync: VecDeque<SocketAddrV4>,
     generation: u64,
@@ -135,6 +136,7 @@
             last_compared: None,
             pauses: PauseWatch::new(PAUSE),
             revision: Revision::default(),
+            evacuations: Revision::default(),
             wants_sync: VecDeque::new(),
             generation: 0,
             seeds: Vec::new(),
@@ -230,10 +232,20 @@
         self.revision = revision;
     }
 
+    /// Sets the revision of the evacuation orders that the digest shows.
+    pub fn set_evacuations(&mut self, revision: Revision) {
+        self.evacuations = revision;
+    }
+
     /// Returns this process's digest.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        Digest { process: self.me.process, revision: self.revision, members: self.hash }
+        Digest {
+            process: self.me.process,
+            revision: self.revision,
+            evacuations: self.evacuations,
+            members: self.hash,
+        }
     }
 
     /// Returns the changes since the last call.
@@ -273,8 +285,8 @@
         draw_some(up.map(|m| m.control).collect(), n, draw)
     }
 
-    /// Returns the peers to which new records are passed.
-    fn rumour_peers(&self, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
+    /// Returns the peers to which news are passed.
+    pub fn rumour_peers(&self, draw: &mut Draw<'_>) -> Vec<SocketAddrV4> {
         let near: Vec<_> = self
             .others()
             .filter(|m| m.status != MemberStatus::Down && m.zone == self.me.zone)
--- a/crates/dillmill-core/src/membership/probe.rs
+++ b/crates/dillmill-core/src/membership/probe.rs
@@ -13,6 +13,8 @@
     pub process: ProcessId,
     /// Settings revision in force.
     pub revision: Revision,
+    /// Revision of the evacuation orders that the sender knows.
+    pub evacuations: Revision,
     /// Hash over all member records.
     pub members: u64,
 }
--- a/crates/dillmill-flow/src/agent.rs
+++ b/crates/dillmill-flow/src/agent.rs
@@ -12,7 +12,7 @@
 use crate::agent_task::{AgentTask, StopRequest};
 use crate::config::process_config;
 use crate::flow_metrics::AgentCounters;
-use crate::route_watch::RouteWatch;
+use crate::operator_watch::OperatorWatch;
 use crate::session::Session;
 use crate::{endpoints, sockets};
 
@@ -73,7 +73,7 @@
         )?;
         compio::runtime::spawn(task.run(calls, flows, stops)).detach();
         Session::spawn(&node, config.control, settings);
-        RouteWatch::spawn(&node, settings.first_start);
+        OperatorWatch::spawn(&node, settings.first_start);
         Ok(Self { node, stop, stop_limit: Rc::new(Cell::new(settings.stop_limit)) })
     }
 
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -198,7 +198,10 @@
 
     fn take_view(&mut self, view: &View) {
         self.settled = view.settled;
-        let agents = AgentTable::new(view.members.iter(), &self.zone);
+        // A balancer knows the orders before it knows any route, so what it sends meanwhile is right.
+        let evacuations = view.evacuations.as_deref().cloned().unwrap_or_default();
+        self.gate.set_evacuated(evacuations.contains(&self.zone));
+        let agents = AgentTable::new(view.members.iter(), &self.zone).evacuating(&evacuations);
         if agents != self.agents {
             self.registrations.moved(self.gate.records(), &self.agents, &agents);
             self.agents = agents;
--- a/crates/dillmill-flow/src/agent_task/target_word.rs
+++ b/crates/dillmill-flow/src/agent_task/target_word.rs
@@ -20,7 +20,7 @@
     pub(super) async fn call(&mut self, call: EndpointCall, now: Timestamp) {
         match call {
             EndpointCall::Ready(tx) => {
-                let ready = self.gate.takes_new(now) && !self.routes.is_empty();
+                let ready = self.gate.can_serve(now) && !self.routes.is_empty();
                 let _ = tx.send(if ready { Accepted::Yes } else { Accepted::No });
             }
             EndpointCall::Target(TargetCall::Heartbeat { id, heartbeat }, tx) => {
@@ -111,7 +111,7 @@
         self.handle.journal.record(EventKind::Member, what, format!("standing {standing:?}"));
         if fitness != Fitness::Sound {
             self.handle.leave();
-        } else if self.gate.takes_new(now) && standing == TargetStanding::Ready {
+        } else if self.gate.can_serve(now) && standing == TargetStanding::Ready {
             self.handle.serve();
         }
     }
@@ -125,7 +125,8 @@
         let service = self.gate.service();
         let siblings =
             || self.agents.iter().filter(|a| a.service == service && a.data != self.gate.data());
-        let serving = siblings().filter(|a| a.status == MemberStatus::Serving).count();
+        let serving =
+            siblings().filter(|a| a.status == MemberStatus::Serving && !a.evacuated).count();
         if self.gate.target_failing(now) && serving * 2 > siblings().count() {
             return Fitness::Failing;
         }
--- a/crates/dillmill-flow/src/balancer.rs
+++ b/crates/dillmill-flow/src/balancer.rs
@@ -13,7 +13,7 @@
 use crate::balancer_task::{BalancerTask, Readiness};
 use crate::config::process_config;
 use crate::flow_metrics::BalancerCounters;
-use crate::route_watch::RouteWatch;
+use crate::operator_watch::OperatorWatch;
 use crate::session::Session;
 use crate::{endpoints, sockets};
 
@@ -74,7 +74,7 @@
         )?;
         compio::runtime::spawn(task.run(loads, flows)).detach();
         Session::spawn(&node, config.control, settings);
-        RouteWatch::spawn(&node, settings.first_start);
+        OperatorWatch::spawn(&node, settings.first_start);
         let stop_limit = Rc::new(Cell::new(settings.stop_limit));
         Ok(Self { node, readiness, counters, stop_limit })
     }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -169,9 +169,12 @@
             self.searches.begin_again(now);
         }
         self.settled = view.settled;
-        self.agents = AgentTable::new(view.members.iter(), &self.zone);
+        let evacuations = view.evacuations.as_deref().cloned().unwrap_or_default();
+        self.agents = AgentTable::new(view.members.iter(), &self.zone).evacuating(&evacuations);
         self.placement.retain(&self.agents);
+        // No flow is placed by routes alone: its data centre may be evacuated.
         if let Some(routes) = &view.routes
+            && view.evacuations.is_some()
             && routes.revision() > self.routes.revision
         {
             self.routes = Arc::new(routes.table().after(&self.routes));
--- a/crates/dillmill-flow/src/balancer_task/opening.rs
+++ b/crates/dillmill-flow/src/balancer_task/opening.rs
@@ -111,7 +111,11 @@
             return self.counters.dropped.inc();
         }
         self.counters.refused.inc();
-        self.log.flow(now, &seg.flow, "refused", || format!("no agent of service {service}"));
+        let evacuated = self.agents.all_evacuated(service);
+        self.log.flow(now, &seg.flow, "refused", || {
+            let why = if evacuated { ": all their data centres are evacuated" } else { "" };
+            format!("no agent of service {service}{why}")
+        });
         self.reset(&seg.flow, 0).await;
     }
 }
--- a/crates/dillmill-flow/src/lib.rs
+++ b/crates/dillmill-flow/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`agent`], [`agent_task`] | last word before a target; finds flows again |
 //! | [`registrations`] | tells directories about the flows of a target |
 //! | [`session`] | the process's entry in the store, and who else is there |
-//! | [`route_watch`] | reads the operator's configuration |
+//! | [`operator_watch`] | reads the operators' configuration and their orders to evacuate |
 //! | [`reload`] | reads a changed settings file |
 //! | [`uplink`] | lets packets wait for the VM's link |
 //! | [`endpoints`] | readiness and heartbeats |
@@ -24,10 +24,10 @@
 pub mod decision_log;
 pub mod endpoints;
 pub mod flow_metrics;
+pub mod operator_watch;
 pub mod presence;
 pub mod registrations;
 pub mod reload;
-pub mod route_watch;
 pub mod session;
 pub mod sockets;
 pub mod uplink;
--- a/crates/dillmill-flow/src/route_watch.rs
+++ b/crates/dillmill-flow/src/operator_watch.rs
@@ -1,15 +1,18 @@
-//! Reads the operator's configuration from the store.
+//! Reads what operators keep in the store: the configuration, and which data centres are to be evacuated.
 //!
 //! A few processes watch it and pass each new revision on; the others read it only when nobody has
 //! shown them any. A watch alone does not tell whether the store still answers, so only processes
 //! whose leases are being renewed have the duty.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use dillmill_core::{EventKind, StoreReach, store_duty};
+use dillmill_core::{Evacuations, EventKind, Revision, StoreReach, store_duty};
 use dillmill_node::{Node, NodeHandle, View, Views};
-use dillmill_platform::store_protocol::DOCUMENT_KEY;
-use dillmill_platform::{Entry, PlatformError, Store, Version, WatchOutcome, document};
+use dillmill_platform::store_protocol::Changes;
+use dillmill_platform::{
+    Entry, OperatorKey, PlatformError, Store, Version, WatchOutcome, document, operator_key,
+};
 use error_stack::Report;
 use rand::Rng;
 
@@ -28,13 +31,13 @@
 /// How often a process without the duty looks whether it has it now.
 const OFF_DUTY: Duration = Duration::from_millis(250);
 
-/// Watches the configuration for as long as the process lives.
+/// Watches what operators keep for as long as the process lives.
 #[derive(Debug)]
-pub struct RouteWatch {
+pub struct OperatorWatch {
     store: Store,
     handle: NodeHandle,
     views: Views,
-    view: Option<std::sync::Arc<View>>,
+    view: Option<Arc<View>>,
     after: Option<Version>,
     /// How long to wait for the routes of peers after the start, in milliseconds.
     patience_ms: std::ops::Range<u64>,
@@ -42,7 +45,7 @@
 
 type Step<T> = Result<T, Report<PlatformError>>;
 
-impl RouteWatch {
+impl OperatorWatch {
     /// Starts the task.
     pub fn spawn(node: &Node, first_start: bool) {
         let watch = Self {
@@ -61,8 +64,9 @@
         compio::time::sleep(patience).await;
         loop {
             self.view = self.views.newer().or(self.view.take());
-            let has_routes = self.view.as_ref().is_some_and(|view| view.routes.is_some());
-            if has_routes && !self.on_duty() {
+            let told = |view: &Arc<View>| view.routes.is_some() && view.evacuations.is_some();
+            let is_told = self.view.as_ref().is_some_and(told);
+            if is_told && !self.on_duty() {
                 self.after = None;
                 compio::time::sleep(OFF_DUTY).await;
                 continue;
@@ -73,7 +77,11 @@
                     self.after = None;
                     self.handle.metrics.platform_errors.inc();
                     let cause = report.current_context().to_string();
-                    self.handle.journal.record(EventKind::Platform, "routes not read", cause);
+                    self.handle.journal.record(
+                        EventKind::Platform,
+                        "operators' entries not read",
+                        cause,
+                    );
                     RETRY
                 }
             };
@@ -91,35 +99,78 @@
 
     async fn step(&mut self) -> Step<()> {
         let Some(after) = self.after else { return self.read().await };
-        match self.store.watch(DOCUMENT_KEY, after, WATCH).await? {
+        match self.store.watch(operator_key::PREFIX, after, WATCH).await? {
             WatchOutcome::HistoryGone => {
                 let cause = format!("store has forgotten what came after {after}");
                 self.handle.journal.record(EventKind::Platform, "watch starts again", cause);
                 self.read().await
             }
             WatchOutcome::Changes(changes) => {
-                if let Some(newest) =
-                    changes.entries.iter().rfind(|e| e.key == DOCUMENT_KEY && !e.removed)
-                {
-                    self.take(newest);
-                }
+                self.take_changes(&changes);
                 self.after = Some(changes.current.max(after));
                 Ok(())
             }
         }
     }
 
-    /// Reads the whole configuration, and from where a watch can go on.
+    /// Reads all that operators keep, and from where a watch can go on.
     async fn read(&mut self) -> Step<()> {
-        let page = self.store.list(DOCUMENT_KEY, "").await?;
-        if let Some(entry) = page.entries.iter().find(|e| e.key == DOCUMENT_KEY) {
+        let mut entries: Vec<Entry> = Vec::new();
+        let mut current = None;
+        loop {
+            let behind = entries.last().map_or("", |last| &last.key);
+            let page = self.store.list(operator_key::PREFIX, behind).await?;
+            // What changes while later pages are read is told by the watch again.
+            current.get_or_insert(page.current);
+            let last = !page.more || page.entries.is_empty();
+            entries.extend(page.entries);
+            if last {
+                break;
+            }
+        }
+        let current = current.unwrap_or_default();
+        let ordered = entries.iter().filter_map(operator_key::evacuation_change);
+        let evacuations = Evacuations::new(Revision(current.0), ordered.map(|change| change.zone));
+        // Before the routes: from the first route on new flows are placed.
+        self.handle.put_evacuations("store", evacuations);
+        for entry in &entries {
             self.take(entry);
         }
-        self.after = Some(page.current);
+        self.after = Some(current);
         Ok(())
     }
 
+    fn take_changes(&self, changes: &Changes) {
+        let ordered: Vec<_> =
+            changes.entries.iter().filter_map(operator_key::evacuation_change).collect();
+        if !ordered.is_empty() {
+            self.handle.change_evacuations(ordered);
+        }
+        let newest_document =
+            |e: &&Entry| OperatorKey::from(e.key.as_str()) == OperatorKey::Document && !e.removed;
+        let newest = changes.entries.iter().rfind(newest_document);
+        let unknown = changes
+            .entries
+            .iter()
+            .filter(|e| OperatorKey::from(e.key.as_str()) == OperatorKey::Unknown);
+        for entry in newest.into_iter().chain(unknown) {
+            self.take(entry);
+        }
+    }
+
     fn take(&self, entry: &Entry) {
+        match OperatorKey::from(entry.key.as_str()) {
+            OperatorKey::Document => self.take_document(entry),
+            OperatorKey::Evacuation(_) => {}
+            OperatorKey::Unknown => {
+                let what = format!("`{}` of the operators not used", entry.key);
+                let cause = "neither the configuration nor the name of a data centre to evacuate";
+                self.handle.journal.record(EventKind::Settings, what, cause);
+            }
+        }
+    }
+
+    fn take_document(&self, entry: &Entry) {
         match document::decode(&entry.value) {
             Ok(routes) => {
                 let source = format!("store version {}", entry.version);
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -8,7 +8,7 @@
 use compio::net::UdpSocket;
 use dillmill_core::membership::{FANOUT, Outgoing};
 use dillmill_core::{
-    Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
+    Evacuations, Event, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
 };
 use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::stream::describe;
@@ -18,6 +18,7 @@
 use crate::views::ViewSender;
 use crate::{Framed, SettingsSource, TrafficKind, View, client};
 
+mod evacuations;
 mod input;
 
 pub(crate) use input::Input;
@@ -30,6 +31,15 @@
 const PULL_PATIENCE: Duration = Duration::from_millis(250);
 const ASK_LIFETIME: Duration = Duration::from_secs(10);
 
+/// What the last view for the other tasks was made of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Shown {
+    members: u64,
+    settings: Revision,
+    evacuations: Option<Revision>,
+    settled: bool,
+}
+
 /// The state of the control task.
 pub(crate) struct Control {
     pub(crate) handle: NodeHandle,
@@ -38,6 +48,8 @@
     pub(crate) tree: Tree,
     pub(crate) settings: Option<Arc<dillmill_settings::CompiledTree>>,
     pub(crate) routes: Option<Arc<RouteTree>>,
+    /// Data centres that are to get no new flows; `None` until somebody has told.
+    pub(crate) evacuations: Option<Arc<Evacuations>>,
     /// Revision of routes that a peer was asked for, and when.
     pub(crate) routes_asked: Option<(Revision, Timestamp)>,
     pub(crate) recent: VecDeque<Change>,
@@ -47,7 +59,7 @@
     pub(crate) asks: HashMap<u64, (flume::Sender<Reply>, Timestamp)>,
     pub(crate) pulled: Option<(Revision, SocketAddrV4, Timestamp)>,
     pub(crate) platform_reachable: bool,
-    pub(crate) shown: Option<(u64, Revision, bool)>,
+    pub(crate) shown: Option<Shown>,
     pub(crate) settings_source: SettingsSource,
     pub(crate) settled: bool,
 }
@@ -67,6 +79,7 @@
             tree: Tree::default(),
             settings: None,
             routes: None,
+            evacuations: None,
             routes_asked: None,
             recent: VecDeque::new(),
             events: EventLog::new(TIMELINE_CAPACITY),
@@ -114,6 +127,10 @@
                 self.take_settings(&source, changes, tree, now).await;
             }
             Input::Routes { source, routes } => self.take_routes(&source, routes).await,
+            Input::Evacuations { source, evacuations } => {
+                self.take_evacuations(&source, evacuations).await;
+            }
+            Input::EvacuationChanges(changes) => self.take_evacuation_changes(&changes).await,
             Input::UpdateMe(change) => {
                 self.membership.update_me(change);
                 self.tick(now).await;
@@ -172,6 +189,9 @@
                     let _ = inlets.flows.send((from, message));
                 }
             }
+            Message::Evacuations(evacuations) => {
+                self.take_evacuations(&format!("peer {from}"), evacuations).await;
+            }
             Message::Pull { after } => self.send_changes(from, after).await,
             Message::Changes(changes) => {
                 self.take_settings(&format!("peer {from}"), changes, None, now).await;
@@ -200,6 +220,7 @@
     ) {
         use dillmill_core::membership::Probe;
         let (Probe::Ping { digest, .. } | Probe::Ack { digest, .. }) = probe else { return };
+        self.correct_evacuations(from, digest.evacuations).await;
         if self.settings_source == SettingsSource::Routes {
             self.ask_for_routes(from, digest.revision, now);
         } else if digest.revision > self.tree.revision {
@@ -363,9 +384,14 @@
             let Ok(framed) = Framed::connect(peer, handle.key.clone()).await else { return };
             let framed = framed.counted(&handle.metrics.traffic);
             let answer = client::exchange(framed, &question).await;
-            if let Ok(StreamMessage::Synced { members, changes, tree, routes }) = answer {
+            if let Ok(StreamMessage::Synced { members, changes, tree, routes, evacuations }) =
+                answer
+            {
                 let _ = handle.tx.send(Input::Members(members));
                 let source = format!("peer {peer}");
+                if let Some(evacuations) = evacuations {
+                    handle.put_evacuations(source.clone(), evacuations);
+                }
                 if let Some(routes) = routes {
                     handle.put_routes(source.clone(), routes);
                 }
@@ -406,20 +432,22 @@
         let follows = changes.first().is_some_and(|change| change.revision == after.next());
         let routes = self.routes.as_ref().filter(|r| r.revision() > after);
         let routes = routes.map(|r| RouteTree::clone(r));
-        if self.tree.revision <= after {
-            StreamMessage::Synced { members, changes: Vec::new(), tree: None, routes }
+        let (changes, tree) = if self.tree.revision <= after {
+            (Vec::new(), None)
         } else if follows {
-            StreamMessage::Synced { members, changes, tree: None, routes }
+            (changes, None)
         } else {
-            let tree = Some(self.tree.clone());
-            StreamMessage::Synced { members, changes: Vec::new(), tree, routes }
-        }
+            (Vec::new(), Some(self.tree.clone()))
+        };
+        let evacuations = self.evacuations.as_deref().cloned();
+        StreamMessage::Synced { members, changes, tree, routes, evacuations }
     }
 
     fn status(&self) -> ProcessStatus {
         ProcessStatus {
             member: self.membership.me().clone(),
             revision: self.in_force(),
+            evacuations: self.evacuations.as_deref().cloned().unwrap_or_default(),
             platform_reachable: self.platform_reachable,
             flows: u64::try_from(self.handle.metrics.flows.get()).unwrap_or(0),
             serving: self
@@ -456,12 +484,18 @@
             members: Arc::new(self.membership.all().cloned().collect()),
             settings: self.settings.clone(),
             routes: self.routes.clone(),
+            evacuations: self.evacuations.clone(),
             settled: self.settled,
         }
     }
 
     fn publish(&mut self) {
-        let state = (self.membership.generation(), self.in_force(), self.settled);
+        let state = Shown {
+            members: self.membership.generation(),
+            settings: self.in_force(),
+            evacuations: self.evacuations.as_ref().map(|known| known.revision()),
+            settled: self.settled,
+        };
         if self.shown == Some(state) {
             return;
         }
--- a/crates/dillmill-node/src/control/input.rs
+++ b/crates/dillmill-node/src/control/input.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use dillmill_core::{EventKind, Member, Timestamp};
+use dillmill_core::{EvacuationChange, Evacuations, EventKind, Member, Timestamp};
 use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::{Message, Reply, StreamMessage};
 
@@ -64,6 +64,15 @@
         /// The tree.
         routes: RouteTree,
     },
+    /// Orders to evacuate data centres, from the platform or a peer.
+    Evacuations {
+        /// Where they came from.
+        source: String,
+        /// All that hold.
+        evacuations: Evacuations,
+    },
+    /// Changes of these orders, from the platform.
+    EvacuationChanges(Vec<EvacuationChange>),
     /// Change this process's own record.
     UpdateMe(Box<dyn FnOnce(&mut Member) + Send>),
     /// Join through these control addresses besides the ones of the settings.
--- a/crates/dillmill-node/src/handle.rs
+++ b/crates/dillmill-node/src/handle.rs
@@ -6,7 +6,9 @@
 use dillmill_core::claims::RingMember;
 use dillmill_core::membership::Draw;
 use dillmill_core::placement::LoadReport;
-use dillmill_core::{EventKind, Member, ProcessId, ServiceName, VmName};
+use dillmill_core::{
+    EvacuationChange, Evacuations, EventKind, Member, ProcessId, ServiceName, VmName,
+};
 use dillmill_settings::RouteTree;
 use dillmill_wire::{Ask, ClusterKey, FlowMessage, HandedRequest, Message, Reply};
 use rand::Rng;
@@ -188,6 +190,16 @@
         let _ = self.tx.send(Input::Routes { source: source.into(), routes });
     }
 
+    /// Puts orders to evacuate data centres in force if they are newer, and passes them on.
+    pub fn put_evacuations(&self, source: impl Into<String>, evacuations: Evacuations) {
+        let _ = self.tx.send(Input::Evacuations { source: source.into(), evacuations });
+    }
+
+    /// Takes in changes of the orders to evacuate that the platform has told.
+    pub fn change_evacuations(&self, changes: Vec<EvacuationChange>) {
+        let _ = self.tx.send(Input::EvacuationChanges(changes));
+    }
+
     /// Joins through the processes at these control addresses, besides those of the settings.
     pub fn add_seeds(&self, seeds: Vec<SocketAddrV4>) {
         let _ = self.tx.send(Input::Seeds(seeds));
--- a/crates/dillmill-node/src/metrics.rs
+++ b/crates/dillmill-node/src/metrics.rs
@@ -12,6 +12,8 @@
     registry: Registry,
     /// Settings revision in force.
     pub revision: IntGauge,
+    /// Data centres that are to get no new flows.
+    pub evacuated: IntGauge,
     /// Processes known and not down.
     pub members: IntGauge,
     /// Control bytes sent.
@@ -38,6 +40,11 @@
         let registry = Registry::new();
         let metrics = Self {
             revision: gauge(&registry, "dillmill_settings_revision", "Settings revision in force")?,
+            evacuated: gauge(
+                &registry,
+                "dillmill_evacuated_data_centres",
+                "Data centres that are to get no new flows",
+            )?,
             members: gauge(&registry, "dillmill_members", "Processes known and not down")?,
             control_sent: counter(&registry, "dillmill_control_sent_bytes", "Control bytes sent")?,
             control_received: counter(
--- a/crates/dillmill-node/src/traffic.rs
+++ b/crates/dillmill-node/src/traffic.rs
@@ -85,7 +85,7 @@
             Message::Load(_) | Message::Flow(FlowMessage::AskLoad) => Self::Load,
             Message::Flow(FlowMessage::Records(_)) => Self::Directory,
             Message::Flow(_) => Self::Owner,
-            Message::Pull { .. } | Message::Changes(_) => Self::Settings,
+            Message::Pull { .. } | Message::Changes(_) | Message::Evacuations(_) => Self::Settings,
             Message::Ask { .. } | Message::Reply { .. } => Self::Claim,
         }
     }
--- a/crates/dillmill-node/src/view.rs
+++ b/crates/dillmill-node/src/view.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use dillmill_core::{HomeTable, Member, MemberStatus, ProcessId, Revision, Role, ServiceName};
+use dillmill_core::{
+    Evacuations, HomeTable, Member, MemberStatus, ProcessId, Revision, Role, ServiceName,
+};
 use dillmill_settings::{CompiledTree, RouteTree};
 
 /// The members and the settings at one moment.
@@ -16,6 +18,8 @@
     pub settings: Option<Arc<CompiledTree>>,
     /// The routes of packet flows in force; `None` until the first came.
     pub routes: Option<Arc<RouteTree>>,
+    /// Data centres that are to get no new flows; `None` until it is known.
+    pub evacuations: Option<Arc<Evacuations>>,
     /// The members are all there are, as far as can be told.
     pub settled: bool,
 }
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, Instant};
 
 use cyper::Client;
-use dillmill_core::{Interval, LinkRate, Revision, ServiceName, Weight};
-use dillmill_platform::store_protocol::DOCUMENT_KEY;
-use dillmill_platform::{LeaseId, ProcessSettings, Store, document};
+use dillmill_core::{Interval, LinkRate, Revision, ServiceName, Weight, ZoneName};
+use dillmill_platform::{LeaseId, ProcessSettings, Store, Transaction, document, operator_key};
 use dillmill_settings::{Route, RouteTree};
 use rand::Rng;
 use tempfile::TempDir;
@@ -35,6 +34,29 @@
 const PROXY_HOST: u8 = 2;
 const FIRST_CALLER: u8 = 200;
 
+/// How the VMs of a fleet lie.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetLayout {
+    /// The rate of the balancers' links, as they are told; `None` for no limit.
+    pub link: Option<LinkRate>,
+    /// Data centres, `zone-1` and so on, in which the VMs of a kind lie by turns.
+    pub zones: u8,
+}
+
+impl Default for FleetLayout {
+    fn default() -> Self {
+        Self { link: None, zones: 1 }
+    }
+}
+
+impl FleetLayout {
+    /// Returns the data centre of the `n`th VM of a kind, counted from 1.
+    fn zone(self, n: u8) -> Result<ZoneName, StandinError> {
+        let name = format!("zone-{}", (n - 1) % self.zones + 1);
+        name.parse().map_err(StandinError::at("name a data centre"))
+    }
+}
+
 /// A VM of the fleet.
 struct Vm {
     settings: ProcessSettings,
@@ -69,7 +91,7 @@
     ///
     /// Fails when a process can't be started or is not ready in time.
     pub async fn start(balancers: u8, services: &[(&str, u8)]) -> Result<Self, StandinError> {
-        Self::start_behind(None, balancers, services).await
+        Self::start_as(FleetLayout::default(), balancers, services).await
     }
 
     /// The same, with balancers that are told that their links are of this rate.
@@ -81,6 +103,20 @@
         link: Option<LinkRate>,
         balancers: u8,
         services: &[(&str, u8)],
+    ) -> Result<Self, StandinError> {
+        let layout = FleetLayout { link, ..FleetLayout::default() };
+        Self::start_as(layout, balancers, services).await
+    }
+
+    /// The same, with VMs that lie so.
+    ///
+    /// # Errors
+    ///
+    /// As [`start`](Self::start).
+    pub async fn start_as(
+        layout: FleetLayout,
+        balancers: u8,
+        services: &[(&str, u8)],
     ) -> Result<Self, StandinError> {
         let dir = tempfile::tempdir().map_err(StandinError::at("make a folder"))?;
         let mut rng = rand::rng();
@@ -101,14 +137,16 @@
         for n in 1..=balancers {
             let name = format!("balancer-{n}");
             let mut vm = make_vm(&name, ip(host()), None, proxy_addr, first)?;
-            vm.settings.link = link;
+            vm.settings.zone = layout.zone(n)?;
+            vm.settings.link = layout.link;
             vms.insert(name, vm);
         }
         for (service, targets) in services {
             for n in 1..=*targets {
                 let name = format!("{service}-{n}");
                 let service = service.parse().map_err(StandinError::at("name a service"))?;
-                let vm = make_vm(&name, ip(host()), Some(service), proxy_addr, first)?;
+                let mut vm = make_vm(&name, ip(host()), Some(service), proxy_addr, first)?;
+                vm.settings.zone = layout.zone(n)?;
                 vms.insert(name, vm);
             }
         }
@@ -136,7 +174,7 @@
 
     async fn wait_for_store(&self) -> Result<(), StandinError> {
         let started = Instant::now();
-        while self.store.get(DOCUMENT_KEY).await.is_err() {
+        while self.store.get(operator_key::DOCUMENT).await.is_err() {
             if started.elapsed() > LIMIT {
                 return Err(StandinError::new("wait", "the store does not answer"));
             }
@@ -299,11 +337,28 @@
         let tree = RouteTree::new(Revision(version), idle, Vec::new(), vec![route])
             .map_err(StandinError::at("make a configuration"))?;
         let value = document::encode(&tree);
-        let put = self.store.put(DOCUMENT_KEY, value, LeaseId::default()).await;
+        let put = self.store.put(operator_key::DOCUMENT, value, LeaseId::default()).await;
         put.map_err(|e| StandinError::new("write the configuration", e.current_context()))?;
         Ok(())
     }
 
+    /// Orders a data centre to be evacuated, or takes the order back.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does.
+    pub async fn evacuate(&self, zone: &str, ordered: bool) -> Result<(), StandinError> {
+        let key = operator_key::evacuation(zone);
+        let done = if ordered {
+            self.store.put(&key, b"{}".to_vec(), LeaseId::default()).await
+        } else {
+            let removal = Transaction { removals: vec![key], ..Transaction::default() };
+            self.store.commit(&removal).await
+        };
+        done.map_err(|e| StandinError::new("order to evacuate", e.current_context()))?;
+        Ok(())
+    }
+
     /// Sets the faults of the store.
     ///
     /// # Errors
--- a/crates/dillmill-wire/src/message.rs
+++ b/crates/dillmill-wire/src/message.rs
@@ -5,7 +5,7 @@
 };
 use dillmill_core::membership::Probe;
 use dillmill_core::placement::LoadReport;
-use dillmill_core::{ProcessId, Revision, ServiceName};
+use dillmill_core::{Evacuations, ProcessId, Revision, ServiceName};
 use dillmill_settings::Change;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,8 @@
     Load(LoadReport),
     /// A message about packet flows.
     Flow(FlowMessage),
+    /// All orders to evacuate data centres that hold.
+    Evacuations(Evacuations),
     /// Asks for the changes after a revision.
     Pull {
         /// Last revision that the sender has.
--- a/crates/dillmill-wire/src/stream.rs
+++ b/crates/dillmill-wire/src/stream.rs
@@ -1,7 +1,7 @@
 //! Messages on TCP connections between processes, each behind its length in 4 bytes.
 
 use dillmill_core::membership::MemberChange;
-use dillmill_core::{Event, GroupName, Member, ProcessId, Revision, ServiceName};
+use dillmill_core::{Evacuations, Event, GroupName, Member, ProcessId, Revision, ServiceName};
 use dillmill_settings::{Change, RouteTree, Tree};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,8 @@
     pub member: Member,
     /// Settings revision in force.
     pub revision: Revision,
+    /// Data centres that get no new flows.
+    pub evacuations: Evacuations,
     /// Whether the platform answered last time.
     pub platform_reachable: bool,
     /// Open flows or connections.
@@ -70,6 +72,8 @@
         tree: Option<Tree>,
         /// A newer tree of routes.
         routes: Option<RouteTree>,
+        /// Orders to evacuate data centres, if any are known.
+        evacuations: Option<Evacuations>,
     },
     /// Asks for [`StreamMessage::Status`].
     GetStatus,
--- a/crates/dillmillctl/src/verbs/processes.rs
+++ b/crates/dillmillctl/src/verbs/processes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use dillmill_core::{Event, Member, MemberStatus, Revision};
+use dillmill_core::{Evacuations, Event, Member, MemberStatus, Revision, Role, ZoneName};
 use dillmill_node::client;
 use dillmill_wire::{ClusterKey, ProcessStatus, StreamMessage};
 use futures_util::StreamExt;
@@ -62,6 +62,20 @@
         };
         self.rows.iter().filter(|(_, status)| !has_newest(status)).count()
     }
+
+    /// Returns the newest orders to evacuate data centres that a process knows.
+    fn evacuations(&self) -> Evacuations {
+        let known = self.rows.iter().filter_map(|(_, status)| status.as_ref());
+        let newest = known.map(|status| &status.evacuations).max_by_key(|e| e.revision());
+        newest.cloned().unwrap_or_default()
+    }
+
+    /// Returns the open flows of the agents in a data centre.
+    fn flows_in(&self, zone: &ZoneName) -> u64 {
+        let there = |member: &Member| member.zone == *zone && member.role != Role::Balancer;
+        let rows = self.rows.iter().filter(|(member, _)| there(member));
+        rows.filter_map(|(_, status)| status.as_ref()).map(|status| status.flows).sum()
+    }
 }
 
 async fn look(cfg: &CtlConfig, key: &ClusterKey) -> Result<Seen, CtlError> {
@@ -111,10 +125,21 @@
             .iter()
             .map(|(member, status)| json!({ "member": member, "status": status }))
             .collect();
-        print_json(&json!({ "revision": seen.newest, "processes": processes }));
+        let evacuations = seen.evacuations();
+        print_json(
+            &json!({ "revision": seen.newest, "evacuations": evacuations, "processes": processes }),
+        );
         return;
     }
     outln!("newest revision {}", seen.newest);
+    let evacuations = seen.evacuations();
+    for zone in evacuations.zones() {
+        let revision = evacuations.revision();
+        outln!(
+            "data centre {zone} gets no new flows (orders of revision {revision}); {} open there",
+            seen.flows_in(zone)
+        );
+    }
     outln!(
         "{:<16} {:<24} {:<10} {:>8} {:>8} platform",
         "vm",
