feat: a cold target gets no more than it carries

Cause: `cold-per-s` was not read. A target that gets more than it carries while cold falls over, starts again, cold, and gets all its work at once. Ruled out: a limit at each balancer alone (15 balancers, 10 a second: two thirds of a request each).

Change: the agent, through which all passes, counts what its target gets in any span of a second, openings and further requests on open flows, and lets opening packets wait in the queue of full targets. Nothing told (0): nothing limited.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::agent_table::AgentTable;
+use crate::cold_start::ColdStart;
 use crate::envelope::{Envelope, Errand};
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::generations::Generations;
@@ -101,8 +102,8 @@
     slots: u16,
     standing: TargetStanding,
     presence: TargetPresence,
-    /// The target has only just started, by its own word.
-    target_cold: bool,
+    /// What the target may get while it has only just started.
+    cold: ColdStart,
     /// Since when there is no target.
     no_target_since: Option<Timestamp>,
     closed: Closed,
@@ -133,7 +134,7 @@
             slots: 1,
             standing: TargetStanding::Unknown,
             presence: TargetPresence::Unknown,
-            target_cold: false,
+            cold: ColdStart::default(),
             no_target_since: None,
             closed: Closed::default(),
             started: now,
@@ -199,9 +200,14 @@
         self.slots = slots.max(1);
     }
 
-    /// Sets whether the target has only just started.
-    pub fn set_cold(&mut self, cold: bool) {
-        self.target_cold = cold;
+    /// Sets how much longer the target is slow from its start.
+    pub fn set_cold(&mut self, left: Duration, now: Timestamp) {
+        self.cold.set_left(left, now);
+    }
+
+    /// Sets how many requests a second a target of the service carries that has only just started.
+    pub fn set_cold_rate(&mut self, rate: Option<u32>) {
+        self.cold.set_rate(rate);
     }
 
     /// Returns what is known of the target.
--- a/crates/dillmill-core/src/flow_gate/finding.rs
+++ b/crates/dillmill-core/src/flow_gate/finding.rs
@@ -22,7 +22,10 @@
     pub(super) fn find(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
         let Arrival { seg, env, known, now } = arrival;
         let fit = self.flows.note_caller(seg, self.slots, now);
-        if fit == Fit::Ours {
+        if let Fit::Ours { further } = fit {
+            if further {
+                self.cold.note(now);
+            }
             return Verdict::Deliver { mark: 0, tell: lookup.searched.then_some(env.origin) };
         }
         if let Some(verdict) = self.direct(arrival, lookup) {
@@ -43,7 +46,7 @@
             // Nothing tells yet whether there is a target that could give the packet back.
             return Verdict::Try { onward: Box::new(self.search_on(arrival, lookup.unsure())) };
         }
-        if self.target_cold && !lookup.claimed && !lookup.search.sure {
+        if self.cold.is_cold(now) && !lookup.claimed && !lookup.search.sure {
             // A search that proves nothing is about flows that run, and such a target has hardly any yet.
             return self.search_on(arrival, lookup);
         }
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -31,10 +31,15 @@
         let Arrival { seg, env, now, .. } = arrival;
         let terms = self.wait_terms(arrival, copies);
         let requests = self.load(now).requests;
+        let cold = !self.cold.room(now);
         let crowded = self.opens.any_urgent(now);
-        if requests >= u32::from(self.slots) || crowded {
-            let wait = crowded || !terms.in_time(self.work_of(requests + 1), now);
-            let reason = if wait { PassReason::Crowded } else { PassReason::Full };
+        if requests >= u32::from(self.slots) || crowded || cold {
+            let wait = cold || crowded || !terms.in_time(self.work_of(requests + 1), now);
+            let reason = match (cold, wait) {
+                (true, _) => PassReason::Cold,
+                (false, true) => PassReason::Crowded,
+                (false, false) => PassReason::Full,
+            };
             // Bytes between data centres cost, so a wait that the aim allows stays in this one.
             if passed.len() < PLACE_HOPS
                 && let Some(verdict) = self.pass_on(arrival, env.service, passed, reason)
@@ -90,7 +95,9 @@
         now: Timestamp,
     ) -> Verdict {
         self.not_held.remove(&seg.flow);
-        self.flows.opening(seg.flow, copies, now);
+        if self.flows.opening(seg.flow, copies, now) {
+            self.cold.note(now);
+        }
         Verdict::Deliver { mark: self.begin_trial(env.clone()), tell: tell(env, passed) }
     }
 
--- a/crates/dillmill-core/src/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow_gate/verdict.rs
@@ -41,6 +41,8 @@
     Evacuated,
     /// The target has broken off several requests in a row.
     Failing,
+    /// The target has only just started and carries no more now.
+    Cold,
     /// The target has no free slot; another one near may have.
     Full,
     /// The target has more to do than it can in time; any other may have less.
--- a/crates/dillmill-core/src/flow_gate/waiting.rs
+++ b/crates/dillmill-core/src/flow_gate/waiting.rs
@@ -69,6 +69,9 @@
         if !self.takes_new(now) {
             return self.opens.take_any();
         }
+        if !self.cold.room(now) {
+            return None;
+        }
         let requests = self.load(now).requests;
         let slots = u32::from(self.slots);
         let room = requests < slots + (slots / ON_THE_WAY).max(1);
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -24,6 +24,7 @@
 //! | [`claims`] | whether a request that may not be repeated may be dispatched |
 //! | [`placement`] | which agent of a service runs a request |
 //! | [`retry_budget`] | whether a request may be tried once more |
+//! | [`cold_start`] | how many requests a target gets that has only just started |
 //! | [`warm_up`] | how many slots a target that has just started gets |
 //! | [`watch_duty`] | which processes hold a watch at the platform |
 //! | [`store_duty`] | which processes keep an entry in the platform's store for others to join through |
@@ -32,6 +33,7 @@
 pub mod answer_norms;
 pub mod caller_packets;
 pub mod claims;
+pub mod cold_start;
 pub mod early_packets;
 pub mod envelope;
 pub mod evacuations;
@@ -74,6 +76,7 @@
 
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
+pub use cold_start::ColdStart;
 pub use early_packets::{EarlyPacket, EarlyPackets};
 pub use envelope::{Envelope, Errand, Search, SearchPlace, SearchScope};
 pub use evacuations::{EvacuationChange, Evacuations};
--- a/crates/dillmill-core/src/route_table.rs
+++ b/crates/dillmill-core/src/route_table.rs
@@ -68,6 +68,8 @@
     /// Revision of the settings.
     pub revision: Revision,
     routes: Vec<(SocketAddrV4, RouteEntry)>,
+    /// Requests a second that a target carries which has only just started, for services that tell.
+    cold_rates: Vec<(ServiceTag, u32)>,
 }
 
 impl RouteTable {
@@ -80,7 +82,20 @@
         let mut routes: Vec<_> = routes.into_iter().collect();
         routes.sort_by_key(|(address, _)| *address);
         routes.dedup_by_key(|(address, _)| *address);
-        Self { revision, routes }
+        Self { revision, routes, cold_rates: Vec::new() }
+    }
+
+    /// Sets the requests a second that a target of each service carries which has only just started.
+    #[must_use]
+    pub fn cold_rates(mut self, rates: impl IntoIterator<Item = (ServiceTag, u32)>) -> Self {
+        self.cold_rates = rates.into_iter().collect();
+        self
+    }
+
+    /// Returns the requests a second that a target of `service` carries which has only just started, if that is told.
+    #[must_use]
+    pub fn cold_rate(&self, service: ServiceTag) -> Option<u32> {
+        self.cold_rates.iter().find(|(s, _)| *s == service).map(|(_, rate)| *rate)
     }
 
     /// Remembers where open flows of `before` may be.
--- a/crates/dillmill-core/src/target_flows.rs
+++ b/crates/dillmill-core/src/target_flows.rs
@@ -65,7 +65,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fit {
     /// The target holds the flow.
-    Ours,
+    Ours {
+        /// The packet begins a request, and is not the first to do so.
+        further: bool,
+    },
     /// The caller has acknowledged another target.
     Other,
     /// Nothing is known of the flow.
@@ -112,10 +115,10 @@
 }
 
 impl TargetFlows {
-    /// Notes that the target is handed the opening packet of a flow.
-    pub fn opening(&mut self, flow: FlowTuple, copies: u32, now: Timestamp) {
+    /// Notes that the target is handed the opening packet of a flow; returns whether it is new there.
+    pub fn opening(&mut self, flow: FlowTuple, copies: u32, now: Timestamp) -> bool {
         if copies > 0 && self.flows.get_mut(&flow, now).is_some() {
-            return;
+            return false;
         }
         let opening = TargetFlow {
             stage: Stage::Opening,
@@ -129,6 +132,7 @@
         };
         self.unheard.get_or_insert(now);
         self.flows.insert(flow, opening, now);
+        true
     }
 
     /// Takes in a packet of the caller and says whether it belongs to the target, which has `slots`.
@@ -150,9 +154,11 @@
         if seg.len > 0 {
             self.unheard.get_or_insert(now);
         }
+        let mut further = false;
         match seg.kind {
             SegmentKind::Finish | SegmentKind::Reset => flow.stage = Stage::Closed,
             _ if seg.len > 0 && flow.request.is_none() => {
+                further = flow.began;
                 flow.request = Some(now);
                 flow.began = true;
                 flow.unqueued = unqueued;
@@ -160,7 +166,7 @@
             }
             _ => {}
         }
-        Fit::Ours
+        Fit::Ours { further }
     }
 
     /// Returns whether the caller has opened a flow that the target has accepted.
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -791,7 +791,7 @@
     let unsettled = Known { agents: &agents, routes: &routes, settled: false };
     let settled = Known { settled: true, ..unsettled };
     let mut gate = restarted_gate();
-    gate.set_cold(true);
+    gate.set_cold(Duration::from_secs(2), NOW);
     let env = envelope(search(SearchPlace::Directory(0)));
     let verdict = arrived(&mut gate, &request(1), &env, unsettled);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -211,6 +211,7 @@
         {
             self.routes = Arc::new(routes.table().after(&self.routes));
         }
+        self.gate.set_cold_rate(self.routes.cold_rate(self.gate.service()));
     }
 
     async fn take_from_network(&mut self, buf: Vec<u8>, now: Timestamp) {
--- a/crates/dillmill-flow/src/agent_task/target_word.rs
+++ b/crates/dillmill-flow/src/agent_task/target_word.rs
@@ -1,5 +1,7 @@
 //! What an agent hears of its target, and what it tells the others of it.
 
+use std::time::Duration;
+
 use dillmill_core::flow_gate::{TargetPresence, TargetStanding};
 use dillmill_core::target_runs::{FIRST_HEARTBEATS, Heard};
 use dillmill_core::{EventKind, FlowTuple, MemberStatus, Role, ServiceTag, Timestamp, Weight};
@@ -66,7 +68,7 @@
             Heard::NewRun { first } => self.new_run(id, heartbeat, first),
         };
         self.gate.heard();
-        self.gate.set_cold(heartbeat.cold_ms > 0);
+        self.gate.set_cold(Duration::from_millis(heartbeat.cold_ms), now);
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
             TargetState::Draining => TargetStanding::Leaving,
--- a/crates/dillmill-settings/src/route_tree.rs
+++ b/crates/dillmill-settings/src/route_tree.rs
@@ -13,6 +13,8 @@
     pub name: ServiceName,
     /// Path under which its targets tell their health, over HTTP/1.1.
     pub health_path: Option<String>,
+    /// Requests a second that a target carries which has only just started, if that is told.
+    pub cold_rate: Option<u32>,
 }
 
 /// The leaf of a route.
@@ -119,6 +121,8 @@
             };
             (route.address, entry)
         };
+        let rate = |s: &RouteService| Some(((&s.name).into(), s.cold_rate?));
         RouteTable::new(self.revision, self.routes.iter().map(entry))
+            .cold_rates(self.services.iter().filter_map(rate))
     }
 }
