feat: flows are placed by the time that a request takes there

Cause: balancers compared slots in use alone. After an evacuation a whole data centre is cold, and its balancers went on placing there.

Change: agents report how long a request takes at their target, and what a cold one has got and may get. A cold target costs the time until it carries one more; one whose requests take twice the usual time or more costs that time. Agents pass on what a cold target does not carry to any data centre, twice at most. After an order is taken back a target counts as cold until its next heartbeat.

--- a/crates/dillmill-agent/src/desk.rs
+++ b/crates/dillmill-agent/src/desk.rs
@@ -9,7 +9,7 @@
 use dillmill_core::placement::{LoadReport, Place, Policy, Siblings};
 use dillmill_core::retry_budget::RetryBudget;
 use dillmill_core::scheduler::{Ask, Offer, Refusal, RequestId, Scheduler};
-use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, Timestamp, warm_up};
+use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, TargetPace, Timestamp, warm_up};
 use dillmill_node::{NodeHandle, View, Views, with_draw};
 use dillmill_wire::Message;
 
@@ -329,6 +329,7 @@
             in_use: count(self.scheduler.in_use()),
             queued: count(self.scheduler.queued()),
             flows: 0,
+            pace: TargetPace::default(),
         }
     }
 
--- a/crates/dillmill-core/src/cold_start.rs
+++ b/crates/dillmill-core/src/cold_start.rs
@@ -46,6 +46,12 @@
         self.rate.filter(|_| self.is_cold(now))
     }
 
+    /// Returns the requests that the target has got within the last second.
+    pub fn got(&mut self, now: Timestamp) -> u32 {
+        self.forget(now);
+        u32::try_from(self.got.len()).unwrap_or(u32::MAX)
+    }
+
     /// Notes that the target gets a request, or a flow that is about to bring one.
     pub fn note(&mut self, now: Timestamp) {
         let Some(limit) = self.limit(now) else { return self.got.clear() };
--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -17,7 +17,7 @@
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{TargetFlows, TargetLoad};
-use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
+use crate::{ColdLoad, FlowTuple, ProcessId, ServiceTag, TargetPace, Timestamp};
 
 mod finding;
 mod lookup;
@@ -228,8 +228,13 @@
     }
 
     /// Sets whether the agent's data centre is to get no new flows.
-    pub fn set_evacuated(&mut self, evacuated: bool) {
+    pub fn set_evacuated(&mut self, evacuated: bool, now: Timestamp) {
+        let taken_back = self.closed.evacuated && !evacuated;
         self.closed.evacuated = evacuated;
+        if taken_back {
+            // A target that had nothing to do may have turned cold, and its last heartbeat may be older than that.
+            self.cold.set_left(self.heartbeat_every.mul_f64(HEARTBEATS_MISSED), now);
+        }
     }
 
     /// Another run of the target has spoken.
@@ -271,6 +276,14 @@
         self.flows.load(now)
     }
 
+    /// Returns how fast the target works.
+    pub fn pace(&mut self, now: Timestamp) -> TargetPace {
+        let waiting = u32::try_from(self.opens.len()).unwrap_or(u32::MAX);
+        let got = self.cold.got(now).saturating_add(waiting);
+        let cold = self.cold.limit(now).map(|limit| ColdLoad { limit, got });
+        TargetPace { work: self.flows.work(), cold }
+    }
+
     /// Returns the slots of the target.
     #[must_use]
     pub fn slots(&self) -> u16 {
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -14,6 +14,9 @@
 
 /// Agents that may pass an opening packet on before the last one must decide.
 pub(super) const PLACE_HOPS: usize = 3;
+/// The same while the targets are cold. One step finds a warm target if a quarter of the fleet is cold, in three of four cases; if
+/// all of it is, each step is in vain.
+const COLD_HOPS: usize = 2;
 /// Work ahead of a new request that a route without an aim allows, in rounds.
 const ROUNDS: u32 = 3;
 
@@ -41,7 +44,8 @@
                 (false, false) => PassReason::Full,
             };
             // Bytes between data centres cost, so a wait that the aim allows stays in this one.
-            if passed.len() < PLACE_HOPS
+            let hops = if cold { COLD_HOPS } else { PLACE_HOPS };
+            if passed.len() < hops
                 && let Some(verdict) = self.pass_on(arrival, env.service, passed, reason)
             {
                 return verdict;
@@ -143,7 +147,9 @@
         let Arrival { seg, env, known, now } = arrival;
         let fresh =
             |a: &&AgentEntry| a.process != self.me && !passed.contains(&a.process) && a.slots > 0;
-        let rank = |a: &&AgentEntry| (a.near, seg.flow.score(a.process.0));
+        // What has turned cold is mostly a whole data centre.
+        let anywhere = reason == PassReason::Cold;
+        let rank = |a: &&AgentEntry| (a.near || anywhere, seg.flow.score(a.process.0));
         let reached = |a: &&AgentEntry| a.near || reason != PassReason::Full;
         let open = known.agents.taking_new(service).filter(fresh);
         let next = open.filter(reached).max_by_key(rank)?;
--- a/crates/dillmill-core/src/flow_placement.rs
+++ b/crates/dillmill-core/src/flow_placement.rs
@@ -35,6 +35,19 @@
 /// second.
 const RESTING_FLOW: u32 = 50;
 
+/// Time that a request takes before any report.
+const FIRST_WORK: Duration = Duration::from_millis(50);
+/// A target is slow if a request takes this many times the usual time there; the times of sound targets differ by a third.
+const SLOW: u32 = 2;
+/// Part of the usual time by which one report moves it: half of the reports are above it, half below.
+const USUAL_STEP: u32 = 50;
+
+/// Returns `span` in thousandths of `unit`.
+fn thousandths(span: Duration, unit: Duration) -> u32 {
+    let n = span.as_micros() * 1000 / unit.as_micros().max(1);
+    u32::try_from(n).unwrap_or(u32::MAX / 4).min(u32::MAX / 4)
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Load {
     report: LoadReport,
@@ -44,6 +57,7 @@
     unanswered: Option<Timestamp>,
     asked: Timestamp,
     control: SocketAddrV4,
+    service: ServiceTag,
     /// Its data centre was evacuated when the table of agents was last taken in.
     evacuated: bool,
 }
@@ -57,6 +71,7 @@
             unanswered: None,
             asked: Timestamp::default(),
             control: agent.control,
+            service: agent.service,
             evacuated: agent.evacuated,
         }
     }
@@ -67,6 +82,8 @@
 pub struct FlowPlacement {
     loads: HashMap<ProcessId, Load>,
     volumes: HashMap<ServiceTag, FlowVolume>,
+    /// Time that a request takes at half of the targets of each service, or less.
+    usual: HashMap<ServiceTag, Duration>,
 }
 
 impl FlowPlacement {
@@ -76,6 +93,12 @@
             load.report = report;
             load.sent = 0;
             load.unanswered = None;
+            let usual = self.usual.entry(load.service).or_insert(FIRST_WORK);
+            match report.pace.work {
+                Duration::ZERO => {}
+                work if work > *usual => *usual += *usual / USUAL_STEP,
+                _ => *usual -= *usual / USUAL_STEP,
+            }
         }
     }
 
@@ -163,13 +186,29 @@
         Some(best)
     }
 
+    /// Returns the time that a request takes at the targets of `service`.
+    fn usual_work(&self, service: ServiceTag) -> Duration {
+        self.usual.get(&service).copied().unwrap_or(FIRST_WORK)
+    }
+
     fn cost(&self, agent: &AgentEntry, now: Timestamp) -> u32 {
         let far = if agent.near { 0 } else { self.far_penalty(agent.service) };
         let silent = if self.silent(agent.process, now) { SILENT_PENALTY } else { 0 };
         let Some(load) = self.loads.get(&agent.process) else { return far };
         let report = load.report;
+        let usual = self.usual_work(agent.service);
+        if let Some(cold) = report.pace.cold {
+            let ahead = Duration::from_secs(1) * (cold.got + load.sent) / cold.limit.max(1);
+            return thousandths(ahead, usual) + far + silent;
+        }
         let slots = u32::from(report.slots.0.max(1));
         let requests = u32::from(report.in_use) + u32::from(report.queued) + load.sent;
-        (requests * 1000 + report.flows * RESTING_FLOW) / slots + far + silent
+        let load = (requests * 1000 + report.flows * RESTING_FLOW) / slots;
+        let work = report.pace.work;
+        if work < usual * SLOW {
+            return load + far + silent;
+        }
+        let speed = thousandths(work, usual);
+        (speed - 1000) + (u64::from(load) * u64::from(speed) / 1000) as u32 + far + silent
     }
 }
--- a/crates/dillmill-core/src/placement.rs
+++ b/crates/dillmill-core/src/placement.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::membership::Draw;
-use crate::{ProcessId, Slots, Timestamp};
+use crate::{ProcessId, Slots, TargetPace, Timestamp};
 
 const REPORT_LIFETIME: Duration = Duration::from_millis(2500);
 
@@ -44,13 +44,25 @@
     pub queued: u16,
     /// Open flows.
     pub flows: u32,
+    /// How fast the target works.
+    pub pace: TargetPace,
 }
 
 impl LoadReport {
     /// Returns the report of an agent whose target has nothing to do.
     #[must_use]
     pub const fn idle(process: ProcessId, slots: u16) -> Self {
-        Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0 }
+        let pace = TargetPace { work: Duration::ZERO, cold: None };
+        Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0, pace }
+    }
+
+    /// Returns whether the target has something else to do than `before`. How long a request takes there changes with each
+    /// answer, and alone is not worth a message.
+    #[must_use]
+    pub fn tells_more_than(&self, before: &Self) -> bool {
+        let work = before.pace.work;
+        let pace = TargetPace { work, ..self.pace };
+        Self { pace, ..*self } != *before
     }
 }
 
--- a/crates/dillmill-core/tests/evacuations.rs
+++ b/crates/dillmill-core/tests/evacuations.rs
@@ -168,7 +168,7 @@
     let verdict = gate.arrived(&open(1, 0), &place(), known, NOW);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
     gate.answered(&segment(1, SegmentKind::Accept), NOW);
-    gate.set_evacuated(true);
+    gate.set_evacuated(true, NOW);
     gate
 }
 
@@ -265,7 +265,7 @@
     placement.retain(&evacuated);
     for n in [1, 2] {
         let full =
-            LoadReport { slots: Slots(0), in_use: 4, queued: 9, flows: 40, process: ProcessId(n) };
+            LoadReport { in_use: 4, queued: 9, flows: 40, ..LoadReport::idle(ProcessId(n), 0) };
         placement.report(full);
     }
     let counts = placed(&mut placement, &evacuated, 0..40);
--- a/crates/dillmill-core/tests/request_placement.rs
+++ b/crates/dillmill-core/tests/request_placement.rs
@@ -10,7 +10,7 @@
 const NOW: Timestamp = Timestamp::from_millis(1000);
 
 fn report(n: u64, slots: u16, in_use: u16, queued: u16) -> LoadReport {
-    LoadReport { process: ProcessId(n), slots: Slots(slots), in_use, queued, flows: 0 }
+    LoadReport { in_use, queued, ..LoadReport::idle(ProcessId(n), slots) }
 }
 
 fn siblings(reports: &[LoadReport]) -> Siblings {
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -175,7 +175,7 @@
                 self.gate.heard();
             }
             if let Some(view) = self.views.newer() {
-                self.take_view(&view);
+                self.take_view(&view, now);
             }
             match event {
                 Event::FromNetwork(buf) => {
@@ -196,11 +196,11 @@
         }
     }
 
-    fn take_view(&mut self, view: &View) {
+    fn take_view(&mut self, view: &View, now: Timestamp) {
         self.settled = view.settled;
         // A balancer knows the orders before it knows any route, so what it sends meanwhile is right.
         let evacuations = view.evacuations.as_deref().cloned().unwrap_or_default();
-        self.gate.set_evacuated(evacuations.contains(&self.zone));
+        self.gate.set_evacuated(evacuations.contains(&self.zone), now);
         let agents = AgentTable::new(view.members.iter(), &self.zone).evacuating(&evacuations);
         if agents != self.agents {
             self.registrations.moved(self.gate.records(), &self.agents, &agents);
@@ -394,7 +394,8 @@
                 }
             }
             FlowMessage::AskLoad => {
-                self.handle.send(from, Message::Load(self.report(now)));
+                let report = self.report(now);
+                self.handle.send(from, Message::Load(report));
             }
             FlowMessage::Owner { .. }
             | FlowMessage::Missing { .. }
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -16,7 +16,7 @@
 const REPORT_IDLE: Duration = Duration::from_millis(200);
 
 impl AgentTask {
-    pub(super) fn report(&self, now: Timestamp) -> LoadReport {
+    pub(super) fn report(&mut self, now: Timestamp) -> LoadReport {
         let load = self.gate.load(now);
         let slots = if self.gate.takes_new(now) { self.gate.slots() } else { 0 };
         let in_use = load.requests.min(u32::from(self.gate.slots()));
@@ -27,6 +27,7 @@
             in_use: count(in_use),
             queued: count(load.requests - in_use),
             flows: load.flows,
+            pace: self.gate.pace(now),
         }
     }
 
@@ -67,7 +68,7 @@
             .iter()
             .filter(|(_, o)| {
                 let age = now.since(o.last_report);
-                o.due || (o.reported != report && age >= REPORT_IDLE)
+                o.due || (report.tells_more_than(&o.reported) && age >= REPORT_IDLE)
             })
             .map(|(balancer, _)| *balancer)
             .collect();
