--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::flow_caller::FlowEnd;
-use crate::flow_fleet::wait;
+use crate::flow_fleet::{FleetLayout, wait};
 use crate::flow_proxy::ProxyMode;
 use crate::platform::PlatformFaults;
 use crate::{FlowCaller, FlowFleet, StandinError};
@@ -33,6 +33,9 @@
 const THIN_FROM: u64 = 300;
 /// Some 100 kB a second: the callers' packets and the messages between processes fill it now and then.
 const THIN_LINK: &str = "0.8 Mbit/s";
+/// Seeds from this one on are played in two data centres, of which one is evacuated now and then.
+const ZONES_FROM: u64 = 400;
+const ZONES: u8 = 2;
 
 /// What came of a soak.
 #[derive(Debug, Default)]
@@ -56,6 +59,8 @@
     living: BTreeSet<String>,
     disturbed: BTreeMap<String, Instant>,
     routes: Vec<(Instant, &'static str)>,
+    /// The data centre that is evacuated, and since when.
+    evacuated: Option<(u8, Instant)>,
 }
 
 type Shared = Rc<RefCell<Facts>>;
@@ -85,6 +90,16 @@
         before.into_iter().chain(after).map(|(_, service)| *service).collect()
     }
 
+    /// Returns whether a flow that was opened at `at` must not have gone to `run`.
+    fn is_evacuated(&self, run: &str, at: Instant) -> bool {
+        let number = vm_of(run).rsplit('-').next().and_then(|n| n.parse::<u8>().ok());
+        let in_force = |(zone, since): (u8, Instant)| {
+            let there = number.is_some_and(|n| (n - 1) % ZONES + 1 == zone);
+            there && at > since + IN_FORCE
+        };
+        self.evacuated.is_some_and(in_force)
+    }
+
     fn check_reset(&mut self, owner: &str) {
         let vm = vm_of(owner);
         if self.living.contains(owner) && !self.was_disturbed(vm) {
@@ -108,7 +123,9 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let link = THIN_LINK.parse().ok().filter(|_| seed >= THIN_FROM);
     let services = SERVICES.map(|s| (s, TARGETS));
-    let mut fleet = FlowFleet::start_behind(link, BALANCERS, &services).await?;
+    let zones = if seed >= ZONES_FROM { ZONES } else { 1 };
+    let layout = FleetLayout { link, zones };
+    let mut fleet = FlowFleet::start_as(layout, BALANCERS, &services).await?;
     let started = Instant::now();
     let names: Vec<String> = SERVICES
         .iter()
@@ -120,6 +137,7 @@
         living: names.iter().cloned().collect(),
         disturbed: BTreeMap::new(),
         routes: vec![(started.checked_sub(IN_FORCE).unwrap_or(started), SERVICES[0])],
+        evacuated: None,
     }));
     let mut tasks = Vec::new();
     for n in 0..CALLERS {
@@ -127,7 +145,7 @@
         let load = call(caller, fleet.route(), facts.clone(), rng.random(), started + length);
         tasks.push(compio::runtime::spawn(load));
     }
-    let mut faults = Faults { rng, names, facts: facts.clone(), runs: 0, version: 1 };
+    let mut faults = Faults { rng, names, facts: facts.clone(), runs: 0, version: 1, zones };
     while started.elapsed() < length {
         faults.next(&mut fleet).await?;
         let pause = faults.rng.random_range(50..700);
@@ -218,6 +236,10 @@
         }
         Some(_) => {}
         None => {
+            if facts.is_evacuated(run, opened) {
+                facts
+                    .breaks(&format!("new flow answered by {run}, whose data centre is evacuated"));
+            }
             let allowed = facts.services(opened);
             if !allowed.iter().any(|service| run.starts_with(service)) {
                 facts.breaks(&format!("new flow answered by {run}, only {allowed:?} may"));
@@ -233,6 +255,7 @@
     facts: Shared,
     runs: u32,
     version: u64,
+    zones: u8,
 }
 
 impl Faults {
@@ -256,7 +279,8 @@
     }
 
     async fn next(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
-        match self.rng.random_range(0..12) {
+        let kinds = if self.zones > 1 { 15 } else { 12 };
+        match self.rng.random_range(0..kinds) {
             0 | 1 => self.kill(fleet).await,
             2 => self.stop(fleet).await,
             3 | 4 => self.pause(fleet).await,
@@ -265,6 +289,7 @@
             7 | 8 => self.change_route(fleet).await,
             9 => self.break_store(fleet).await,
             10 => self.break_proxy(fleet).await,
+            12.. => self.evacuate(fleet).await,
             _ => {
                 let vm = self.any_vm();
                 self.facts.borrow_mut().act(&format!("hang up {vm}"));
@@ -359,6 +384,18 @@
         Ok(())
     }
 
+    /// Orders one of the data centres to be evacuated, or takes the order back.
+    async fn evacuate(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
+        let before = self.facts.borrow_mut().evacuated.take();
+        let zone = before.map_or_else(|| self.rng.random_range(1..=self.zones), |(zone, _)| zone);
+        let ordered = before.is_none();
+        fleet.evacuate(&format!("zone-{zone}"), ordered).await?;
+        let mut facts = self.facts.borrow_mut();
+        facts.act(&format!("zone-{zone} is to get no new flows: {ordered}"));
+        facts.evacuated = ordered.then(|| (zone, Instant::now()));
+        Ok(())
+    }
+
     async fn break_store(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
         let faults = match self.rng.random_range(0..3) {
             0 => PlatformFaults { down: true, ..PlatformFaults::default() },
@@ -390,16 +427,22 @@
         Ok(())
     }
 
-    /// A change that was made while the store could not be read counts from its return.
+    /// A change of a route, or an order to evacuate, that was made while the store could not be read counts from its return.
     fn forgive_route(&self) {
         let mut facts = self.facts.borrow_mut();
         if let Some((since, _)) = facts.routes.last_mut() {
             *since = Instant::now();
         }
+        if let Some((_, since)) = &mut facts.evacuated {
+            *since = Instant::now();
+        }
     }
 
     /// After all faults everything must serve again.
     async fn settle(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
+        if self.facts.borrow().evacuated.is_some() {
+            self.evacuate(fleet).await?;
+        }
         let router = fleet.router();
         let all = usize::from(BALANCERS);
         wait(SETTLE, "readiness after the faults", || router.ready() == all).await?;
