revert: what waits goes by priority

After a loss of power late requests of the higher priority went before those that could still be answered in time, and everybody was late.

To try next: priority only among those that can still be answered in time, and among late ones.

--- a/crates/dillmill-core/src/flow_gate.rs
+++ b/crates/dillmill-core/src/flow_gate.rs
@@ -17,7 +17,7 @@
 use crate::route_table::{RouteEntry, RouteTable};
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::{TargetFlows, TargetLoad};
-use crate::{ColdLoad, FlowTuple, Priority, ProcessId, ServiceTag, TargetPace, Timestamp};
+use crate::{ColdLoad, FlowTuple, ProcessId, ServiceTag, TargetPace, Timestamp};
 
 mod finding;
 mod lookup;
@@ -73,12 +73,6 @@
 }
 
 impl Arrival<'_> {
-    /// Returns the rank of the flow's route.
-    fn priority(&self) -> Priority {
-        let route = self.known.routes.get(self.seg.flow.route());
-        route.map_or_else(Priority::default, |route| route.priority)
-    }
-
     /// Returns the services that may hold the flow.
     fn services(&self) -> Vec<ServiceTag> {
         let route = self.known.routes.get(self.seg.flow.route());
--- a/crates/dillmill-core/src/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow_gate/opening.rs
@@ -35,7 +35,7 @@
         let terms = self.wait_terms(arrival, copies);
         let requests = self.load(now).requests;
         let cold = !self.cold.room(now);
-        let crowded = self.goes_behind(&terms, now);
+        let crowded = self.opens.any_urgent(now);
         if requests >= u32::from(self.slots) || crowded || cold {
             let wait = cold || crowded || !terms.in_time(self.work_of(requests + 1), now);
             let reason = match (cold, wait) {
@@ -105,11 +105,6 @@
         Verdict::Deliver { mark: self.begin_trial(env.clone()), tell: tell(env, passed) }
     }
 
-    /// Returns whether others that wait go before a new request, even if a slot is free.
-    pub(super) fn goes_behind(&self, terms: &WaitTerms, now: Timestamp) -> bool {
-        self.opens.any_urgent(now) || self.opens.any_before(terms.priority, now)
-    }
-
     pub(super) fn wait_terms(&self, arrival: Arrival<'_>, copies: u32) -> WaitTerms {
         let route = arrival.known.routes.get(arrival.seg.flow.route());
         let (timeout, repeatable) = route.map_or((None, false), |r| (r.timeout, r.repeatable));
@@ -117,7 +112,6 @@
         WaitTerms::new(copies, self.time_limit(arrival), arrival.now)
             .patience(patience)
             .timeout(timeout.unwrap_or(patience))
-            .priority(arrival.priority())
     }
 
     /// Returns the time that a request may wait for its answer to come within the aim of its route.
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -95,7 +95,7 @@
 pub use member::{Member, MemberStatus, Role, StoreReach};
 pub use membership::Membership;
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
-pub use numbers::{Percent, Priority, ProcessId, Revision, ServiceNumber, Slots, Weight};
+pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
 pub use open_queue::OpenQueue;
 pub use owner_cache::{Owner, OwnerCache};
 pub use pause_watch::PauseWatch;
--- a/crates/dillmill-core/src/numbers.rs
+++ b/crates/dillmill-core/src/numbers.rs
@@ -39,10 +39,6 @@
     /// Number of a service inside connection ids; unique in the settings tree.
     ServiceNumber(u16)
 }
-number! {
-    /// Rank of a route among those that share targets: the lowest number is served first.
-    Priority(u32)
-}
 number! {
     /// Requests that a target runs at once.
     Slots(u16)
--- a/crates/dillmill-core/src/open_queue.rs
+++ b/crates/dillmill-core/src/open_queue.rs
@@ -11,8 +11,6 @@
 //! 3. late ones, when the target would have nothing to do otherwise, the oldest first;
 //! 4. those whose callers are probably gone, when nothing else waits.
 //!
-//! Among them those go first whose routes have the higher priority.
-//!
 //! A queue that only served the oldest would do all its work for callers that have just gone, once its wait is as
 //! long as their patience, and never recover: each of them would be back with another try. And where the load stays
 //! as high as what targets can do, it would make every answer late, to save few.
@@ -22,7 +20,7 @@
 use std::time::Duration;
 
 use crate::patience::{LONGEST, Patience};
-use crate::{Envelope, FlowTuple, Priority, Timestamp};
+use crate::{Envelope, FlowTuple, Timestamp};
 
 /// A packet goes first from this long before its caller may be gone. 80 and 150 ms were compared on whole days
 /// (docs/design/further.md): with less, requests are lost that this saves.
@@ -72,8 +70,6 @@
     pub timeout: Duration,
     /// Copies of it that have come.
     pub copies: u32,
-    /// Rank of its route.
-    pub priority: Priority,
     /// It is the request of a flow that is open already: its caller waits for the answer, and sends it again.
     pub open_flow: bool,
 }
@@ -94,15 +90,7 @@
     #[must_use]
     pub fn new(copies: u32, limit: Duration, now: Timestamp) -> Self {
         let since = waiting_since(copies, now);
-        Self {
-            since,
-            limit,
-            patience: LONGEST,
-            timeout: LONGEST,
-            copies,
-            priority: Priority::default(),
-            open_flow: false,
-        }
+        Self { since, limit, patience: LONGEST, timeout: LONGEST, copies, open_flow: false }
     }
 
     /// Sets how long callers of the route are assumed to wait.
@@ -119,13 +107,6 @@
         self
     }
 
-    /// Sets the rank of the route.
-    #[must_use]
-    pub fn priority(mut self, priority: Priority) -> Self {
-        self.priority = priority;
-        self
-    }
-
     /// Sets after what time callers give a request up.
     #[must_use]
     pub fn timeout(mut self, timeout: Duration) -> Self {
@@ -256,57 +237,27 @@
     /// Returns the next packet that there is room for: behind `ahead`, the time that the target's requests take, or
     /// at once, if the target has `room`.
     pub fn take(&mut self, ahead: Duration, room: bool, now: Timestamp) -> Option<WaitingOpen> {
-        let first = self.first_priority(now);
-        let next = match self.soonest(Standing::Urgent, first, now) {
+        let next = match self.soonest(Standing::Urgent, now) {
             Some(urgent) => room.then_some(urgent),
-            None => self.newest_in_time(ahead, first, now).or_else(|| {
-                let late = || self.soonest(Standing::Waiting, first, now);
+            None => self.newest_in_time(ahead, now).or_else(|| {
+                let late = || self.soonest(Standing::Waiting, now);
                 room.then(|| late().or_else(|| self.newest()))?
             }),
         };
         next.map(|i| self.waiting.swap_remove(i))
     }
 
-    /// Returns whether a packet of a route that goes before `priority` waits, and its caller is probably still there.
-    #[must_use]
-    pub fn any_before(&self, priority: Priority, now: Timestamp) -> bool {
-        let before = self.waiting.iter().filter(|open| open.terms.priority < priority);
-        before.into_iter().any(|open| self.standing(open, now) != Standing::Doubtful)
-    }
-
-    /// Returns the priority that goes first of those whose callers are probably still there.
-    fn first_priority(&self, now: Timestamp) -> Option<Priority> {
-        let there = |open: &&WaitingOpen| self.standing(open, now) != Standing::Doubtful;
-        self.waiting.iter().filter(there).map(|open| open.terms.priority).min()
-    }
-
-    /// Returns the packets of this priority, with their places.
-    fn of(&self, priority: Option<Priority>) -> impl Iterator<Item = (usize, &WaitingOpen)> {
-        let such = move |open: &WaitingOpen| priority.is_none_or(|p| open.terms.priority == p);
-        self.waiting.iter().enumerate().filter(move |(_, open)| such(open))
-    }
-
     /// Returns the packet of this standing whose caller waits the shortest time more.
-    fn soonest(
-        &self,
-        standing: Standing,
-        priority: Option<Priority>,
-        now: Timestamp,
-    ) -> Option<usize> {
-        let all = self.of(priority);
+    fn soonest(&self, standing: Standing, now: Timestamp) -> Option<usize> {
+        let all = self.waiting.iter().enumerate();
         let such = all.filter(|(_, open)| self.standing(open, now) == standing);
         let patience = |open: &WaitingOpen| self.patience(&open.flow, &open.terms, now);
         let gone = |open: &WaitingOpen| open.terms.since + patience(open);
         such.min_by_key(|(_, open)| gone(open)).map(|(i, _)| i)
     }
 
-    fn newest_in_time(
-        &self,
-        ahead: Duration,
-        priority: Option<Priority>,
-        now: Timestamp,
-    ) -> Option<usize> {
-        let in_time = self.of(priority).filter(|(_, o)| o.terms.in_time(ahead, now));
+    fn newest_in_time(&self, ahead: Duration, now: Timestamp) -> Option<usize> {
+        let in_time = self.waiting.iter().enumerate().filter(|(_, o)| o.terms.in_time(ahead, now));
         in_time.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
     }
 
--- a/crates/dillmill-core/src/route_table.rs
+++ b/crates/dillmill-core/src/route_table.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use crate::{FlowTuple, Priority, Revision, ServiceTag, Weight};
+use crate::{FlowTuple, Revision, ServiceTag, Weight};
 
 /// Seed of the choice among the services of a route; any number that no address gives will do.
 const SHARE_SEED: u64 = u64::MAX;
@@ -21,8 +21,6 @@
     pub timeout: Option<Duration>,
     /// Callers may repeat a request after any failure.
     pub repeatable: bool,
-    /// Which routes go first where a target has too much to do.
-    pub priority: Priority,
 }
 
 impl RouteEntry {
--- a/crates/dillmill-settings/src/route_tree.rs
+++ b/crates/dillmill-settings/src/route_tree.rs
@@ -3,9 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
-use dillmill_core::{
-    Interval, Priority, Revision, RouteEntry, RouteTable, ServiceName, ServiceTag, Weight,
-};
+use dillmill_core::{Interval, Revision, RouteEntry, RouteTable, ServiceName, ServiceTag, Weight};
 use serde::{Deserialize, Serialize};
 
 /// The branch of a service.
@@ -34,8 +32,6 @@
     pub timeout: Option<Interval>,
     /// Time within which an answer is of full use.
     pub latency_aim: Option<Interval>,
-    /// Which routes go first where a target has too much to do.
-    pub priority: Priority,
 }
 
 /// Why a tree can't be put in force.
@@ -122,7 +118,6 @@
                 latency_aim,
                 timeout,
                 repeatable: route.repeatable,
-                priority: route.priority,
             };
             (route.address, entry)
         };
