refactor(core): modules are grouped by area

60 files lay in one directory, so a new module had no obvious place. Modules move to flow/, load/, target/, link/ and duties/, each with a page of module docs; the root of the crate re-exports them, so paths in other packages hold. Nothing else changes.

--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -32,55 +32,41 @@
 //! | [`start_delay`] | how long a starting process waits for peers before it queries the platform's store |
 //! | [`store_selection`] | which processes keep an entry in the platform's store for others to join through |
 
-pub mod agent_table;
-pub mod answer_norms;
-pub mod attempt_timeout;
-pub mod caller_packets;
 pub mod claims;
-pub mod cold_start;
-pub mod directory_catch_up;
-pub mod early_packets;
-pub mod envelope;
-pub mod evacuations;
+pub mod duties;
 pub mod event;
-pub mod flow_directory;
-pub mod flow_gate;
+pub mod flow;
 pub mod flow_id;
-pub mod flow_placement;
 pub mod flow_tuple;
-pub mod flow_volume;
 pub mod generation_cache;
-pub mod home_table;
 pub mod interval;
-pub mod link_admission;
-pub mod link_queue;
-pub mod link_rate;
-pub mod member;
+pub mod link;
+pub mod load;
 pub mod membership;
 pub mod names;
 pub mod numbers;
-pub mod open_queue;
-pub mod outcomes;
-pub mod owner_cache;
 pub mod pause_detector;
-pub mod pending_searches;
-pub mod placement;
-pub mod registrations;
-pub mod retry_budget;
-pub mod route_table;
-pub mod scheduler;
 pub mod secret;
 pub mod segment;
 pub mod service_tag;
-pub mod start_delay;
-pub mod store_selection;
-pub mod target_flows;
-pub mod target_pace;
-pub mod target_run;
-pub mod target_runs;
+pub mod target;
 pub mod timestamp;
-pub mod warm_up;
-pub mod watcher_selection;
+
+// The modules of each area are also reachable from the root, which is the path that other packages use.
+pub use duties::{evacuations, start_delay, store_selection, watcher_selection};
+pub use flow::{
+    agent_table, directory_catch_up, early_packets, envelope, flow_directory, flow_gate,
+    flow_placement, flow_volume, home_table, owner_cache, pending_searches, registrations,
+    route_table,
+};
+pub use link::{link_admission, link_queue, link_rate};
+pub use load::{
+    attempt_timeout, cold_start, open_queue, placement, retry_budget, scheduler, warm_up,
+};
+pub use membership::member;
+pub use target::{
+    answer_norms, caller_packets, outcomes, target_flows, target_pace, target_run, target_runs,
+};
 
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
--- /dev/null
+++ b/crates/dillmill-core/src/load.rs
@@ -0,0 +1,19 @@
+//! Decisions under load: which request runs next, where, and which is refused.
+//!
+//! | Module | Responsibility |
+//! |---|---|
+//! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
+//! | [`attempt_timeout`] | how long callers wait for the answer to an opening packet |
+//! | [`cold_start`] | request rate of a target that has just started |
+//! | [`warm_up`] | slots of a target that has just started |
+//! | [`scheduler`] | order of requests on a target's slots, by fair shares of groups and deadlines |
+//! | [`placement`] | agent that runs a request, by load reports of siblings |
+//! | [`retry_budget`] | whether a request may be retried |
+
+pub mod attempt_timeout;
+pub mod cold_start;
+pub mod open_queue;
+pub mod placement;
+pub mod retry_budget;
+pub mod scheduler;
+pub mod warm_up;
--- a/crates/dillmill-core/src/membership.rs
+++ b/crates/dillmill-core/src/membership.rs
@@ -15,6 +15,7 @@
 //! | `records` | decides which of two records wins and which records are gossiped |
 //! | `probing` | selects the peers to probe and handles missing answers |
 //! | `unconfirmed_downs` | tracks processes just declared down for silence, which may still refute it |
+//! | [`member`] | a process's member record and status |
 //! | `joining` | finds other processes and synchronises records with them |
 //! | `settling` | decides whether all processes are known |
 //!
@@ -35,6 +36,7 @@
 
 mod fleet_size;
 mod joining;
+pub mod member;
 mod peer_table;
 mod probe;
 mod probing;
--- /dev/null
+++ b/crates/dillmill-core/src/target.rs
@@ -0,0 +1,19 @@
+//! A target as its agent observes it: its runs, flows, speed and health.
+//!
+//! | Module | Responsibility |
+//! |---|---|
+//! | [`target_flows`] | flows of the target and the requests on them |
+//! | [`target_run`] | identity of one run of a target |
+//! | [`target_runs`] | run of the target that a heartbeat belongs to |
+//! | [`target_pace`] | measured speed of a target |
+//! | [`outcomes`] | ejection of a target that fails requests |
+//! | [`answer_norms`] | which answers are outliers |
+//! | [`caller_packets`] | packets of callers with which a new run is asked for its flows |
+
+pub mod answer_norms;
+pub mod caller_packets;
+pub mod outcomes;
+pub mod target_flows;
+pub mod target_pace;
+pub mod target_run;
+pub mod target_runs;
