feat(settings,wire): priority and overload settings of routes, detail of load reports

A route's priority was not read, and nothing could switch decisions under overload. Routes, services and the root now hold settings for overload that inherit and are checked; load reports have a part for waiting packets and for the demand of open flows. All new parts of messages come last, so that earlier versions read the messages without them and their messages are read (test earlier_versions). Nothing acts on the new values yet.

--- a/crates/dillmill-agent/src/admission.rs
+++ b/crates/dillmill-agent/src/admission.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dillmill_core::claims::RingMember;
-use dillmill_core::placement::{LoadReport, Place, Policy, Siblings};
+use dillmill_core::placement::{LoadDetail, LoadReport, Place, Policy, Siblings};
 use dillmill_core::retry_budget::RetryBudget;
 use dillmill_core::scheduler::{Offer, Refusal, RequestId, Scheduler, SchedulingRequest};
 use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, TargetPace, Timestamp, warm_up};
@@ -330,6 +330,7 @@
             queued: count(self.scheduler.queued()),
             flows: 0,
             pace: TargetPace::default(),
+            detail: LoadDetail::default(),
         }
     }
 
--- a/crates/dillmill-core/src/flow/route_table.rs
+++ b/crates/dillmill-core/src/flow/route_table.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use crate::{FlowTuple, Revision, ServiceTag, Weight};
+use crate::{FlowTuple, OverloadPolicy, Priority, Revision, ServiceTag, Weight};
 
 /// Seed of the hash that chooses among the services of a route. Any number works that does not result
 /// from an address.
@@ -22,6 +22,10 @@
     pub timeout: Option<Duration>,
     /// Whether callers may repeat a request after any failure.
     pub repeatable: bool,
+    /// Priority of the requests.
+    pub priority: Priority,
+    /// Decisions under overload that are in force for the route.
+    pub overload: OverloadPolicy,
 }
 
 impl RouteEntry {
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod service_tag;
 pub mod target;
 pub mod timestamp;
+pub mod trailing;
 
 // The modules of each area are also reachable from the root, which is the path that other packages use.
 pub use duties::{evacuations, start_delay, store_selection, watcher_selection};
@@ -61,7 +62,8 @@
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
-    attempt_timeout, cold_start, open_queue, placement, retry_budget, scheduler, warm_up,
+    attempt_timeout, cold_start, open_queue, overload_policy, placement, priority, retry_budget,
+    scheduler, warm_up,
 };
 pub use membership::member;
 pub use target::{
@@ -91,9 +93,11 @@
 pub use names::{GroupName, NameError, ServiceName, VmName, ZoneName};
 pub use numbers::{Percent, ProcessId, Revision, ServiceNumber, Slots, Weight};
 pub use open_queue::OpenQueue;
+pub use overload_policy::OverloadPolicy;
 pub use owner_cache::{Owner, OwnerCache};
 pub use pause_detector::PauseDetector;
 pub use pending_searches::PendingSearches;
+pub use priority::{PRIORITY_CLASSES, Priority};
 pub use registrations::{RecordBatch, Registrations};
 pub use route_table::{RouteEntry, RouteTable};
 pub use secret::Secret;
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -3,6 +3,8 @@
 //! | Module | Responsibility |
 //! |---|---|
 //! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
+//! | [`priority`] | priority of the requests on a route |
+//! | [`overload_policy`] | settings that govern decisions under overload |
 //! | [`attempt_timeout`] | how long callers wait for the answer to an opening packet |
 //! | [`cold_start`] | request rate of a target that has just started |
 //! | [`warm_up`] | slots of a target that has just started |
@@ -13,7 +15,9 @@
 pub mod attempt_timeout;
 pub mod cold_start;
 pub mod open_queue;
+pub mod overload_policy;
 pub mod placement;
+pub mod priority;
 pub mod retry_budget;
 pub mod scheduler;
 pub mod warm_up;
--- a/crates/dillmill-core/src/load/placement.rs
+++ b/crates/dillmill-core/src/load/placement.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::membership::RandomIndex;
-use crate::{ProcessId, Slots, TargetPace, Timestamp};
+use crate::{PRIORITY_CLASSES, ProcessId, Slots, TargetPace, Timestamp, trailing};
 
 const REPORT_LIFETIME: Duration = Duration::from_millis(2500);
 
@@ -48,6 +48,27 @@
     pub flows: u32,
     /// How fast the target works.
     pub pace: TargetPace,
+    /// What earlier versions do not report.
+    #[serde(deserialize_with = "trailing::deserialize")]
+    pub detail: LoadDetail,
+}
+
+/// The part of a load report that earlier versions do not send.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDetail {
+    /// Packets that wait at the agent for the target, by the class of their priority.
+    pub waiting: [u16; PRIORITY_CLASSES],
+    /// Load that the open flows are expected to bring, in thousandths of a slot; `None` if the agent
+    /// does not learn it.
+    pub flow_demand: Option<u32>,
+}
+
+impl LoadDetail {
+    /// Returns the number of waiting packets of all priorities.
+    #[must_use]
+    pub fn waiting_total(&self) -> u32 {
+        self.waiting.iter().copied().map(u32::from).sum()
+    }
 }
 
 impl LoadReport {
@@ -55,7 +76,8 @@
     #[must_use]
     pub const fn idle(process: ProcessId, slots: u16) -> Self {
         let pace = TargetPace { work: Duration::ZERO, cold: None };
-        Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0, pace }
+        let detail = LoadDetail { waiting: [0; PRIORITY_CLASSES], flow_demand: None };
+        Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0, pace, detail }
     }
 
     /// Returns whether the report differs from `before` in more than the service time. That
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dillmill_core::flow_placement::REPORT_INTERVAL;
-use dillmill_core::placement::LoadReport;
+use dillmill_core::placement::{LoadDetail, LoadReport};
 use dillmill_core::{Slots, Timestamp};
 use dillmill_wire::Message;
 
@@ -28,6 +28,7 @@
             queued: count(load.requests - in_use),
             flows: load.flows,
             pace: self.gate.pace(now),
+            detail: LoadDetail::default(),
         }
     }
 
--- a/crates/dillmill-node/src/control/peer_sync.rs
+++ b/crates/dillmill-node/src/control/peer_sync.rs
@@ -46,8 +46,14 @@
             if response.is_err() {
                 let _ = handle.tx.send(Input::SyncFailed);
             }
-            if let Ok(StreamMessage::SyncReply { members, changes, tree, routes, evacuations }) =
-                response
+            if let Ok(StreamMessage::SyncReply {
+                members,
+                changes,
+                tree,
+                routes,
+                evacuations,
+                overload,
+            }) = response
             {
                 let _ = handle.tx.send(Input::Members(members));
                 let source = format!("peer {peer}");
@@ -55,6 +61,7 @@
                     handle.put_evacuations(source.clone(), evacuations);
                 }
                 if let Some(routes) = routes {
+                    let routes = routes.with_overload_settings(&overload);
                     handle.put_routes(source.clone(), routes);
                 }
                 let _ = handle.tx.send(Input::Settings { source, changes, tree });
@@ -105,7 +112,8 @@
             (Vec::new(), Some(self.tree.clone()))
         };
         let evacuations = self.evacuations.as_deref().cloned();
-        StreamMessage::SyncReply { members, changes, tree, routes, evacuations }
+        let overload = routes.as_ref().map(RouteTree::overload_settings).unwrap_or_default();
+        StreamMessage::SyncReply { members, changes, tree, routes, evacuations, overload }
     }
 
     pub(super) fn update_busy(&mut self, now: Timestamp) {
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -16,7 +16,7 @@
 use dillmill_platform::{
     Freshness, LeaseId, ProcessSettings, Store, Transaction, document, operator_key,
 };
-use dillmill_settings::{Route, RouteTree};
+use dillmill_settings::{Overload, Route, RouteTree};
 pub use fleet_layout::FleetLayout;
 use tempfile::TempDir;
 use vm::Vm;
@@ -174,6 +174,8 @@
             timeout: None,
             repeatable: false,
             latency_aim: None,
+            priority: None,
+            overload: Overload::default(),
         };
         let idle = Interval::from_millis(15_000);
         let tree = RouteTree::new(Revision(version), idle, Vec::new(), vec![route])
--- a/crates/dillmill-wire/src/stream.rs
+++ b/crates/dillmill-wire/src/stream.rs
@@ -1,8 +1,10 @@
 //! Messages on TCP connections between processes, each preceded by its length in 4 bytes.
 
 use dillmill_core::membership::{MemberChange, RecordBuckets};
-use dillmill_core::{Evacuations, Event, GroupName, Member, ProcessId, Revision, ServiceName};
-use dillmill_settings::{Change, RouteTree, Tree};
+use dillmill_core::{
+    Evacuations, Event, GroupName, Member, ProcessId, Revision, ServiceName, trailing,
+};
+use dillmill_settings::{Change, OverloadSettings, RouteTree, Tree};
 use serde::{Deserialize, Serialize};
 
 /// Maximum length of a message on a stream, in bytes; it fits a tree of the target size with room to grow.
@@ -74,6 +76,9 @@
         routes: Option<RouteTree>,
         /// Evacuation orders, if any are known.
         evacuations: Option<Evacuations>,
+        /// Priorities and settings for overload of the route tree. Earlier versions do not send them.
+        #[serde(deserialize_with = "trailing::deserialize")]
+        overload: OverloadSettings,
     },
     /// Requests [`StreamMessage::Status`].
     GetStatus,
--- /dev/null
+++ b/crates/dillmill-wire/tests/earlier_versions.rs
@@ -0,0 +1,87 @@
+//! Guards rolling upgrades: messages without the fields that were added later must be decoded, and
+//! messages with those fields must be decoded by earlier versions, which read only the fields that
+//! they know.
+
+use std::time::Duration;
+
+use dillmill_core::placement::{LoadDetail, LoadReport};
+use dillmill_core::{Evacuations, Member, ProcessId, Slots, TargetPace};
+use dillmill_settings::{Change, RouteTree, Tree};
+use dillmill_wire::{Message, StreamMessage};
+use serde::{Deserialize, Serialize};
+
+/// A load report as earlier versions send it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierReport {
+    process: ProcessId,
+    slots: Slots,
+    in_use: u16,
+    queued: u16,
+    flows: u32,
+    pace: TargetPace,
+}
+
+/// The reply to a synchronisation as earlier versions send it.
+#[derive(Serialize)]
+struct EarlierReply {
+    members: Vec<Member>,
+    changes: Vec<Change>,
+    tree: Option<Tree>,
+    routes: Option<RouteTree>,
+    evacuations: Option<Evacuations>,
+}
+
+/// Position of the load report among the variants of [`Message`], which every version shares.
+const LOAD_VARIANT: u8 = 1;
+/// Position of the reply to a synchronisation among the variants of [`StreamMessage`].
+const SYNC_REPLY_VARIANT: u8 = 1;
+
+fn report() -> LoadReport {
+    let detail = LoadDetail { waiting: [1, 2, 3, 4], flow_demand: Some(1500) };
+    let pace = TargetPace { work: Duration::from_millis(40), cold: None };
+    LoadReport { in_use: 3, flows: 9, pace, detail, ..LoadReport::idle(ProcessId(7), 3) }
+}
+
+#[test]
+fn earlier_report_read() {
+    let earlier = EarlierReport {
+        process: ProcessId(7),
+        slots: Slots(3),
+        in_use: 3,
+        queued: 0,
+        flows: 9,
+        pace: report().pace,
+    };
+    let mut bytes = vec![LOAD_VARIANT];
+    bytes.extend(postcard::to_stdvec(&earlier).unwrap());
+    let Message::Load(read) = postcard::from_bytes(&bytes).unwrap() else { panic!("no report") };
+    assert_eq!(read, LoadReport { detail: LoadDetail::default(), ..report() });
+}
+
+#[test]
+fn report_read_by_earlier_version() {
+    let bytes = postcard::to_stdvec(&Message::Load(report())).unwrap();
+    assert_eq!(bytes[0], LOAD_VARIANT);
+    let read: EarlierReport = postcard::from_bytes(&bytes[1..]).unwrap();
+    assert_eq!((read.in_use, read.flows, read.pace), (3, 9, report().pace));
+    assert_eq!(postcard::from_bytes::<Message>(&bytes).unwrap(), Message::Load(report()));
+}
+
+#[test]
+fn earlier_sync_reply_read() {
+    let earlier = EarlierReply {
+        members: Vec::new(),
+        changes: Vec::new(),
+        tree: None,
+        routes: Some(RouteTree::default()),
+        evacuations: None,
+    };
+    let mut bytes = vec![SYNC_REPLY_VARIANT];
+    bytes.extend(postcard::to_stdvec(&earlier).unwrap());
+    let StreamMessage::SyncReply { routes, overload, .. } = postcard::from_bytes(&bytes).unwrap()
+    else {
+        panic!("no reply")
+    };
+    assert_eq!(routes, Some(RouteTree::default()));
+    assert_eq!(overload, dillmill_settings::OverloadSettings::default());
+}
