perf(flow): processes ask the store sooner after a start

First packets were placed 130 to 200 ms after a process's start, and callers' last copies fell into that time. Ruled out: targets' heartbeats (2 to 40 ms) and readiness (routers use all balancers of a data centre in which few are ready).

--- a/crates/dillmill-flow/src/operator_watch.rs
+++ b/crates/dillmill-flow/src/operator_watch.rs
@@ -39,8 +39,8 @@
 };
 /// The same while no seed has answered: the seeds may start last.
 const PEER_WAIT_ALONE: StartDelay = StartDelay {
-    base: Duration::from_millis(30),
-    spread: Duration::from_millis(120),
+    base: Duration::from_millis(10),
+    spread: Duration::from_millis(40),
     per_process: Duration::from_micros(1500),
 };
 /// Range from which a seed draws its wait, in milliseconds.
@@ -49,7 +49,7 @@
 /// later.
 const PEER_WAIT_FIRST_START_MS: Range<u64> = 500..4000;
 /// Interval at which a waiting process checks whether its peers have sent the data.
-const PEER_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const PEER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which a process without the duty checks whether it has it now.
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -36,16 +36,18 @@
 /// Pause after a failed call: an entry must be restored within 2 s after the store is reachable again.
 const RETRY_DELAY: Duration = Duration::from_millis(800);
 /// How long a process tries the seed addresses in its settings before it looks for peers in the store.
-/// When everything starts at once, one of the seeds has started by then for nearly all processes.
+/// After a loss of power the seeds start in any order, some of them last, and callers wait meanwhile: a
+/// read from the store costs less than a longer wait. A process whose seeds have started is answered
+/// within this time.
 const SEED_WAIT: StartDelay = StartDelay {
-    base: Duration::from_millis(120),
+    base: Duration::from_millis(40),
     spread: Duration::ZERO,
     per_process: Duration::from_micros(500),
 };
 /// The same while the fleet's size is not known: it has been read by then.
 const SEED_WAIT_UNKNOWN_SIZE: Duration = Duration::from_millis(200);
 /// Interval at which a process that has only just started checks whether it has to contact the store.
-const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(30);
+const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for the seed addresses when the whole system starts for the first time: the store has no entries
 /// yet and no traffic comes for seconds, but thousands of processes would all query the store.
 const SEED_WAIT_FIRST_START: Duration = Duration::from_secs(1);
