feat(core): waiting requests are served by priority

Cause: requests on open flows went straight to the target and opening packets were queued by time alone, so the priority of a route had no effect on who waits at a full target. Change: where routes of one service have several priorities, an agent gives its target no more requests than slots and overcommit. Opening packets and further requests on open flows wait in one queue, ordered by class, priority and age, with a share of turns kept for lower priorities. All packets of a waiting request follow its first one; copies are dropped. Services with one priority are served as before.

--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -202,6 +202,10 @@
             return Answered { record: None, answered: None, stray_reset };
         }
         let noted = self.flows.note_target(seg, now);
+        if seg.kind == SegmentKind::Reset && !noted.stray_reset {
+            // A waiting request ends with its flow.
+            self.opens.remove(&seg.flow);
+        }
         let accept = seg.kind == SegmentKind::Accept;
         let record = noted.new.then(|| self.record(seg.flow, accept.then_some(seg.seq), !accept));
         Answered { record, answered: noted.answered, stray_reset: noted.stray_reset }
--- a/crates/dillmill-core/src/flow/flow_gate/finding.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/finding.rs
@@ -8,6 +8,7 @@
 };
 use crate::FlowCoverage;
 use crate::envelope::{Envelope, PacketPurpose, Search, SearchPlace, SearchScope};
+use crate::open_queue::WaitTerms;
 use crate::segment::SegmentKind;
 use crate::target_flows::FlowMatch;
 
@@ -20,14 +21,12 @@
 
 impl FlowGate {
     /// Decides on a packet of a flow that should be open at some agent. A further request on a flow
-    /// waits while the target is cold.
+    /// waits while the target is cold, or full while requests of several priorities compete for it.
     pub(super) fn find(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
-        let Arrival { seg, env, now, .. } = arrival;
-        // A target may turn cold while it has open flows, and would crash if requests came on all
-        // of them at once. A request that is delayed for a moment is still answered.
-        if self.flows.begins_further(seg) && !self.cold.room(now) {
-            let terms = self.wait_terms(arrival, 0).of_open_flow();
-            return Verdict::Wait { terms, envelope: env.clone(), tell: None };
+        let Arrival { seg, env, .. } = arrival;
+        if let Some(terms) = self.hold_terms(arrival) {
+            let tell = lookup.searched.then_some(env.origin);
+            return Verdict::Wait { terms, envelope: env.clone(), tell };
         }
         if matches!(seg.kind, SegmentKind::Finish | SegmentKind::Reset) {
             self.opens.remove(&seg.flow);
@@ -35,6 +34,33 @@
         self.find_now(arrival, lookup)
     }
 
+    /// Returns the time limits of a packet on an open flow that must wait: the first packet of a
+    /// further request, or any other packet of a request that waits.
+    ///
+    /// All packets of a request are held behind the first, because the first does not tell whether
+    /// more come. The queue recognises copies by their sequence numbers.
+    fn hold_terms(&mut self, arrival: Arrival<'_>) -> Option<WaitTerms> {
+        let Arrival { seg, now, .. } = arrival;
+        let carries_data = seg.len > 0 && seg.kind != SegmentKind::Reset;
+        let held = carries_data && self.opens.holds_request(&seg.flow);
+        if !held && !self.flows.begins_further(seg) {
+            return None;
+        }
+        let terms = self.wait_terms(arrival, 0).of_open_flow(seg.seq);
+        if held {
+            return Some(terms);
+        }
+        // A target may turn cold while it has open flows, and would crash if requests came on all
+        // of them at once. A request that is delayed for a moment is still answered.
+        if !self.cold.room(now) {
+            return Some(terms);
+        }
+        let ordered = terms.policy.priority_order && self.flows.acknowledges_answer(seg);
+        let full = ordered && !self.has_room(self.load(now).requests);
+        // On an open flow, the caller waits for the answer until the route's timeout.
+        full.then(|| terms.attempt_timeout(terms.timeout))
+    }
+
     /// Decides on a packet of a flow that should be open at some agent, whatever the load of the
     /// target.
     pub(super) fn find_now(&mut self, arrival: Arrival<'_>, lookup: Lookup) -> Verdict {
--- a/crates/dillmill-core/src/flow/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/opening.rs
@@ -10,7 +10,7 @@
 use crate::open_queue::{WaitTerms, wait_limit};
 use crate::route_table::RouteTable;
 use crate::segment::Segment;
-use crate::{ProcessId, ServiceTag, Timestamp, attempt_timeout};
+use crate::{Priority, ProcessId, ServiceTag, Timestamp, attempt_timeout};
 
 /// Number of agents that may pass an opening packet on; the next one must decide.
 pub(super) const MAX_PLACE_HOPS: usize = 3;
@@ -38,8 +38,15 @@
         let cold = !self.cold.room(now);
         let crowded = self.opens.any_urgent(now);
         if requests >= u32::from(self.slots) || crowded || cold {
-            let wait = cold || crowded || !terms.in_time(self.work_of(requests + 1), now);
-            let reason = match (cold, wait) {
+            // Packets that wait for their turn would be queued at the target otherwise.
+            let ordered = terms.policy.priority_order;
+            let waiting =
+                if ordered { u32::try_from(self.waiting()).unwrap_or(u32::MAX) } else { 0 };
+            let late = cold
+                || crowded
+                || !terms.in_time(self.work_of(requests.saturating_add(waiting) + 1), now);
+            let wait = late || (ordered && !self.may_pass_queue(requests));
+            let reason = match (cold, late) {
                 (true, _) => PassReason::Cold,
                 (false, true) => PassReason::Crowded,
                 (false, false) => PassReason::Full,
@@ -120,9 +127,12 @@
         let route = arrival.context.routes.get(arrival.seg.flow.route());
         let (timeout, repeatable) = route.map_or((None, false), |r| (r.timeout, r.repeatable));
         let attempt_timeout = attempt_timeout::assumed(timeout, repeatable);
+        let overload = arrival.context.routes.overload(arrival.seg.flow.route(), self.service);
         WaitTerms::new(copies, self.time_limit(arrival), arrival.now)
             .attempt_timeout(attempt_timeout)
             .timeout(timeout.unwrap_or(attempt_timeout))
+            .priority(route.map_or(Priority::LOWEST, |r| r.priority))
+            .policy(overload)
     }
 
     /// Returns how long a request may wait so that its answer still comes within the latency
--- a/crates/dillmill-core/src/flow/flow_gate/waiting.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/waiting.rs
@@ -4,9 +4,9 @@
 
 use super::{Arrival, FlowGate, GateContext, RefuseReason, Verdict};
 use crate::envelope::Envelope;
-use crate::open_queue::{WaitTerms, WaitingOpen};
+use crate::open_queue::{TakeReason, WaitTerms, WaitingOpen};
 use crate::segment::{Segment, SegmentKind};
-use crate::{FlowTuple, Timestamp};
+use crate::{FlowTuple, PRIORITY_CLASSES, Timestamp};
 
 /// While all slots are busy, requests for this fraction of the slots (one over this number, at
 /// least one slot) may be given to the target in addition. A caller's request comes a round trip
@@ -31,6 +31,37 @@
         self.opens.push(open)
     }
 
+    /// Returns whether a packet may be given to a target with this number of `requests` without
+    /// waiting for its turn.
+    pub(super) fn may_pass_queue(&self, requests: u32) -> bool {
+        self.has_room(requests) && self.opens.is_empty()
+    }
+
+    /// Returns whether a target with this number of `requests` may be given one more. More would
+    /// wait in the target's own queue, which ignores priority.
+    pub(super) fn has_room(&self, requests: u32) -> bool {
+        let slots = u32::from(self.slots);
+        requests < slots + (slots / SLOT_OVERCOMMIT_DIVISOR).max(1)
+    }
+
+    /// Returns the number of packets in the queue by the class of their priority.
+    #[must_use]
+    pub fn waiting_by_class(&self) -> [u16; PRIORITY_CLASSES] {
+        self.opens.waiting_by_class()
+    }
+
+    /// Returns how many packets have left the queue for each of [`TakeReason::ALL`].
+    #[must_use]
+    pub fn taken(&self) -> [u64; TakeReason::ALL.len()] {
+        self.opens.taken()
+    }
+
+    /// Returns why the latest packet that left the queue was taken.
+    #[must_use]
+    pub fn last_taken(&self) -> Option<TakeReason> {
+        self.opens.last_taken()
+    }
+
     /// Returns the number of packets in the queue.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -68,6 +99,9 @@
     /// opening packet is returned at once, so that it goes elsewhere.
     pub fn next_waiting(&mut self, now: Timestamp) -> Option<WaitingOpen> {
         self.note_outcomes(now);
+        if let Some(packet) = self.opens.take_following() {
+            return Some(packet);
+        }
         if self.opens.is_empty() {
             return None;
         }
@@ -80,8 +114,7 @@
             return None;
         }
         let requests = self.load(now).requests;
-        let slots = u32::from(self.slots);
-        let room = requests < slots + (slots / SLOT_OVERCOMMIT_DIVISOR).max(1);
+        let room = self.has_room(requests);
         let open = self.opens.take(self.work_of(requests + 1), room, now)?;
         if open.terms.open_flow {
             return Some(open);
--- a/crates/dillmill-core/src/flow/route_table.rs
+++ b/crates/dillmill-core/src/flow/route_table.rs
@@ -46,6 +46,12 @@
         None
     }
 
+    /// Returns the priority by which waiting requests are ordered: the lowest if priority order is
+    /// off for the route.
+    fn effective_priority(&self) -> Priority {
+        if self.overload.priority_order { self.priority } else { Priority::LOWEST }
+    }
+
     /// Returns whether a new flow may go to `service`.
     #[must_use]
     pub fn allows(&self, service: ServiceTag) -> bool {
@@ -77,6 +83,8 @@
     services: Vec<ServiceTag>,
     /// Requests per second that a newly started target can handle, for services that specify it.
     cold_rates: Vec<(ServiceTag, u32)>,
+    /// Services whose targets get requests of several priorities.
+    mixed: Vec<ServiceTag>,
 }
 
 impl RouteTable {
@@ -89,7 +97,9 @@
         let mut routes: Vec<_> = routes.into_iter().collect();
         routes.sort_by_key(|(address, _)| *address);
         routes.dedup_by_key(|(address, _)| *address);
-        Self { revision, routes, services: Vec::new(), cold_rates: Vec::new() }
+        let (services, cold_rates) = (Vec::new(), Vec::new());
+        let mixed = mixed_services(&routes);
+        Self { revision, routes, services, cold_rates, mixed }
     }
 
     /// Sets the requests per second that a newly started target of each service can handle.
@@ -128,6 +138,7 @@
                 entry.add_former(old);
             }
         }
+        self.mixed = mixed_services(&self.routes);
         self
     }
 
@@ -138,6 +149,15 @@
         Some(&self.routes[i].1)
     }
 
+    /// Returns the decisions under overload for requests on the route `address` at a target of
+    /// `service`. Priority order is off unless the target gets requests of several priorities.
+    #[must_use]
+    pub fn overload(&self, address: SocketAddrV4, service: ServiceTag) -> OverloadPolicy {
+        let policy = self.get(address).map(|route| route.overload).unwrap_or_default();
+        let in_force = self.get(address).is_some() && policy.priority_order;
+        OverloadPolicy { priority_order: in_force && self.mixed.contains(&service), ..policy }
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -150,3 +170,22 @@
         self.routes.is_empty()
     }
 }
+
+/// Returns the services that have routes of several priorities.
+fn mixed_services(routes: &[(SocketAddrV4, RouteEntry)]) -> Vec<ServiceTag> {
+    let mut seen: Vec<(ServiceTag, Priority)> = Vec::new();
+    let mut mixed = Vec::new();
+    for (_, entry) in routes {
+        let priority = entry.effective_priority();
+        for service in entry.services() {
+            match seen.iter().find(|(known, _)| *known == service) {
+                Some((_, first)) if *first != priority && !mixed.contains(&service) => {
+                    mixed.push(service);
+                }
+                Some(_) => {}
+                None => seen.push((service, priority)),
+            }
+        }
+    }
+    mixed
+}
--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -1,5 +1,4 @@
-//! Holds the opening packets that wait for an overloaded target, and chooses which one is served
-//! next.
+//! Holds the packets that wait for an overloaded target, and chooses which one is served next.
 //!
 //! A caller that is refused retries at once, a few times in a row, and then abandons its request.
 //! An opening packet that is queued instead is served as soon as there is capacity. An unserved
@@ -13,6 +12,20 @@
 //! 3. Late packets, oldest first, only if the target would otherwise be idle.
 //! 4. Packets whose callers have probably given up, only if nothing else waits.
 //!
+//! That is the order while all requests to the target have the same priority, or with priority
+//! order off. If requests of several priorities compete for the target's slots, no packet is taken
+//! without room, and the order is:
+//!
+//! 1. The urgent packets above, then packets of which little of the request's whole timeout
+//!    remains, oldest first.
+//! 2. Packets that can still be answered in time, by priority, newest first within one priority.
+//! 3. Late packets, by priority, oldest first within one priority.
+//! 4. Packets whose callers have probably given up.
+//!
+//! A share of the turns of 2 and 3 goes to the first packet with a lower priority than the first of
+//! all. Priority applies only within each class: late packets ahead of others that can be in time
+//! would make those late as well.
+//!
 //! A queue that always served the oldest packet would never recover once its delay had reached
 //! the callers' attempt timeout: all its work would go to callers that had just given up, and
 //! each of them would be back with another attempt. Under a load that stays at the targets'
@@ -23,145 +36,23 @@
 use std::time::Duration;
 
 use crate::attempt_timeout::{AttemptTimeoutEstimator, MAX_ATTEMPT_TIMEOUT};
-use crate::{Envelope, FlowTuple, Timestamp};
-
-/// How long before its caller may give up a packet becomes urgent. Covers the network transit and
-/// callers with a shorter timeout than most.
-const URGENT_MARGIN: Duration = Duration::from_millis(150);
-/// Minimum time for which callers have been without an agent when this one starts: a process that
-/// was killed or lost power needs a second or more to come back.
-const MIN_OUTAGE: Duration = Duration::from_secs(1);
-/// A retransmission that is this late was never sent: the caller has given up.
-const RETRANSMIT_SLACK: Duration = Duration::from_millis(60);
+use crate::{Envelope, FlowTuple, PRIORITY_CLASSES, Timestamp};
+
+mod following;
+mod serving_order;
+mod wait_terms;
+
+use following::FollowingPackets;
+pub use serving_order::TakeReason;
+use serving_order::{LowPriorityTurns, Rank};
+use wait_terms::WaitState;
+pub use wait_terms::{WaitTerms, wait_limit, waiting_since};
+
 /// Maximum number of queued opening packets, some 200 bytes each. No packet is refused in favour
 /// of another before its caller gives up, because a refusal only uses up one of the caller's
 /// attempts.
 const MAX_WAITING: usize = 1000;
 
-/// Time since the start of the attempt at which a caller sends its opening packet and each
-/// retransmission.
-const RETRANSMIT_TIMES: [Duration; 3] =
-    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
-
-/// Returns when the caller's attempt began, for an opening packet that arrived at `now` as
-/// retransmission number `copies`.
-#[must_use]
-pub fn waiting_since(copies: u32, now: Timestamp) -> Timestamp {
-    let i = usize::try_from(copies).unwrap_or(usize::MAX).min(RETRANSMIT_TIMES.len() - 1);
-    now - RETRANSMIT_TIMES[i]
-}
-
-/// Percentage of a route's latency objective that the work ahead of a new request may take.
-/// Beyond it the answer would be late in any case and would delay everything behind it, so the
-/// packet is queued, where later packets may overtake it. The rest is for network transit, the
-/// caller's own processing, and work that takes longer than average.
-const QUEUEING_PERCENT: u32 = 55;
-
-/// Returns how long a request with this latency objective may take for queueing and the work
-/// ahead of it together.
-#[must_use]
-pub fn wait_limit(objective: Duration) -> Duration {
-    objective * QUEUEING_PERCENT / 100
-}
-
-/// The time limits of a waiting opening packet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WaitTerms {
-    /// When the caller's current attempt began.
-    pub since: Timestamp,
-    /// Time from `since` that the packet may spend in the queue and behind the target's other
-    /// requests and still be answered in time.
-    pub limit: Duration,
-    /// Attempt timeout assumed for callers of the route.
-    pub attempt_timeout: Duration,
-    /// Time after which callers abandon the request, all attempts included.
-    pub timeout: Duration,
-    /// Number of retransmissions received.
-    pub copies: u32,
-    /// Whether the packet is a request on an open flow. Its caller waits for the answer and
-    /// retransmits the request.
-    pub open_flow: bool,
-}
-
-/// Urgency of a waiting packet at a given moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WaitState {
-    /// The caller may soon end its current attempt.
-    Urgent,
-    /// The caller still has time left.
-    Pending,
-    /// The caller has probably given up.
-    Abandoned,
-}
-
-impl WaitTerms {
-    /// Creates the limits of a packet that arrived at `now` as retransmission number `copies`.
-    #[must_use]
-    pub fn new(copies: u32, limit: Duration, now: Timestamp) -> Self {
-        let since = waiting_since(copies, now);
-        Self {
-            since,
-            limit,
-            attempt_timeout: MAX_ATTEMPT_TIMEOUT,
-            timeout: MAX_ATTEMPT_TIMEOUT,
-            copies,
-            open_flow: false,
-        }
-    }
-
-    /// Sets the attempt timeout assumed for callers of the route.
-    #[must_use]
-    pub fn attempt_timeout(mut self, attempt_timeout: Duration) -> Self {
-        self.attempt_timeout = attempt_timeout;
-        self
-    }
-
-    /// Marks the packet as a request on an open flow.
-    #[must_use]
-    pub fn of_open_flow(mut self) -> Self {
-        self.open_flow = true;
-        self
-    }
-
-    /// Sets the time after which callers abandon a request.
-    #[must_use]
-    pub fn timeout(mut self, timeout: Duration) -> Self {
-        self.timeout = timeout;
-        self
-    }
-
-    /// Returns whether the answer can still be in time if the target has `ahead` of work to do
-    /// first.
-    #[must_use]
-    pub fn in_time(&self, ahead: Duration, now: Timestamp) -> bool {
-        now.since(self.since) + ahead <= self.limit
-    }
-
-    /// Returns the urgency of the packet at an agent that has run for `age`, given the callers'
-    /// `attempt_timeout`.
-    fn wait_state(&self, attempt_timeout: Duration, age: Duration, now: Timestamp) -> WaitState {
-        let waited = now.since(self.since);
-        if self.open_flow {
-            let gives_up = waited + URGENT_MARGIN >= self.attempt_timeout;
-            return if gives_up { WaitState::Abandoned } else { WaitState::Pending };
-        }
-        let last_attempt = age < self.timeout && MIN_OUTAGE + age + attempt_timeout >= self.timeout;
-        let ends = waited + URGENT_MARGIN >= attempt_timeout && last_attempt;
-        if waited >= attempt_timeout || self.retransmission_missing(waited) {
-            WaitState::Abandoned
-        } else if ends {
-            WaitState::Urgent
-        } else {
-            WaitState::Pending
-        }
-    }
-
-    fn retransmission_missing(&self, waited: Duration) -> bool {
-        let next = usize::try_from(self.copies).unwrap_or(usize::MAX).saturating_add(1);
-        RETRANSMIT_TIMES.get(next).is_some_and(|due| waited >= *due + RETRANSMIT_SLACK)
-    }
-}
-
 /// A waiting opening packet, or a request on an open flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitingOpen {
@@ -182,27 +73,54 @@
     started: Timestamp,
     /// Learned attempt timeout of the callers of each route.
     estimators: HashMap<SocketAddrV4, AttemptTimeoutEstimator>,
+    following: FollowingPackets,
+    low_priority: LowPriorityTurns,
+    taken: [u64; TakeReason::ALL.len()],
+    last_taken: Option<TakeReason>,
 }
 
 impl OpenQueue {
     /// Creates the queue of an agent that starts at `now`.
     #[must_use]
     pub fn new(now: Timestamp) -> Self {
-        Self { waiting: Vec::new(), started: now, estimators: HashMap::new() }
+        Self {
+            waiting: Vec::new(),
+            started: now,
+            estimators: HashMap::new(),
+            following: FollowingPackets::default(),
+            low_priority: LowPriorityTurns::default(),
+            taken: [0; TakeReason::ALL.len()],
+            last_taken: None,
+        }
     }
 
-    /// Returns whether an opening packet of `flow` is queued.
+    /// Returns whether a request on the open flow `flow` is queued, or a packet of one.
+    #[must_use]
+    pub fn holds_request(&self, flow: &FlowTuple) -> bool {
+        let request = |open: &WaitingOpen| open.terms.open_flow && open.flow == *flow;
+        self.waiting.iter().any(request) || self.following.holds(flow)
+    }
+
+    /// Returns whether a packet of `flow` is queued.
     #[must_use]
     pub fn contains(&self, flow: &FlowTuple) -> bool {
         self.waiting.iter().any(|open| open.flow == *flow)
     }
 
-    /// Queues a packet, or returns it if the queue is full.
+    /// Queues a packet, or returns it if the queue is full. A copy of a queued packet is dropped. A
+    /// further packet of a queued request follows the request.
     pub fn push(&mut self, open: WaitingOpen) -> Option<WaitingOpen> {
-        if self.contains(&open.flow) {
+        if let Some(queued) = self.waiting.iter().find(|queued| queued.flow == open.flow) {
+            let request = queued.terms.open_flow && open.terms.open_flow;
+            if request && queued.terms.seq != open.terms.seq {
+                return self.following.push(open);
+            }
             self.note_copy(&open.flow, open.terms.copies);
             return None;
         }
+        if self.following.holds(&open.flow) {
+            return self.following.push(open);
+        }
         if self.waiting.len() >= MAX_WAITING {
             return Some(open);
         }
@@ -244,9 +162,10 @@
         open.terms.wait_state(attempt_timeout, now.since(self.started), now)
     }
 
-    /// Removes the opening packet of `flow`, a copy of which was routed elsewhere.
+    /// Removes the packets of `flow`, which is routed elsewhere or has ended.
     pub fn remove(&mut self, flow: &FlowTuple) {
         self.waiting.retain(|open| open.flow != *flow);
+        self.following.remove(flow);
     }
 
     /// Returns whether any queued packet's caller may soon end its attempt.
@@ -258,14 +177,71 @@
     /// Removes and returns the next packet that may be served. `ahead` is the time that the
     /// target's requests will take; with `room` the target can take a packet at once.
     pub fn take(&mut self, ahead: Duration, room: bool, now: Timestamp) -> Option<WaitingOpen> {
-        let next = match self.first_to_give_up(WaitState::Urgent, now) {
-            Some(urgent) => room.then_some(urgent),
-            None => self.newest_in_time(ahead, now).or_else(|| {
-                let late = || self.first_to_give_up(WaitState::Pending, now);
-                room.then(|| late().or_else(|| self.newest()))?
-            }),
+        if let Some(packet) = self.take_following() {
+            return Some(packet);
+        }
+        let ordered = self.waiting.iter().any(|open| open.terms.policy.priority_order);
+        let (i, reason) = match (ordered, room) {
+            (true, true) => self.next_by_priority(ahead, now)?,
+            (true, false) => return None,
+            (false, _) => self.next_by_time(ahead, room, now)?,
         };
-        next.map(|i| self.waiting.swap_remove(i))
+        self.taken[reason.index()] += 1;
+        self.last_taken = Some(reason);
+        let open = self.waiting.swap_remove(i);
+        self.following.release(&open.flow);
+        Some(open)
+    }
+
+    /// Removes and returns the next packet of a request whose first packet has been taken. The
+    /// target's load doesn't matter, as the request is already counted.
+    pub fn take_following(&mut self) -> Option<WaitingOpen> {
+        self.following.take()
+    }
+
+    /// Returns the next packet if the order depends on times alone.
+    fn next_by_time(
+        &self,
+        ahead: Duration,
+        room: bool,
+        now: Timestamp,
+    ) -> Option<(usize, TakeReason)> {
+        if let Some(urgent) = self.first_to_give_up(WaitState::Urgent, now) {
+            return room.then_some((urgent, TakeReason::LastChance));
+        }
+        if let Some(in_time) = self.newest_in_time(ahead, now) {
+            return Some((in_time, TakeReason::InTime));
+        }
+        if !room {
+            return None;
+        }
+        let late = self.first_to_give_up(WaitState::Pending, now);
+        let late = late.map(|i| (i, TakeReason::Late));
+        late.or_else(|| self.newest().map(|i| (i, TakeReason::Abandoned)))
+    }
+
+    /// Returns the next packet in order of priority, or the first of a lower priority if the turn
+    /// is one of theirs.
+    fn next_by_priority(&mut self, ahead: Duration, now: Timestamp) -> Option<(usize, TakeReason)> {
+        let ranks: Vec<Rank> = self.waiting.iter().map(|o| self.rank(o, ahead, now)).collect();
+        let ranked = || ranks.iter().copied().enumerate();
+        let (head, rank) = ranked().min_by_key(|(_, rank)| *rank)?;
+        let below = |other: Rank| Some(rank.priority()?.is_above(other.priority()?));
+        let lower = ranked().filter(|(_, other)| below(*other) == Some(true));
+        let lower = lower.min_by_key(|(_, rank)| *rank).map(|(i, _)| i);
+        let share = self.waiting[head].terms.policy.low_priority_share;
+        match lower {
+            Some(lower) if self.low_priority.next(share) => {
+                Some((lower, TakeReason::LowPriorityTurn))
+            }
+            _ => Some((head, rank.reason())),
+        }
+    }
+
+    fn rank(&self, open: &WaitingOpen, ahead: Duration, now: Timestamp) -> Rank {
+        let attempt_timeout = self.attempt_timeout(&open.flow, &open.terms, now);
+        let state = open.terms.wait_state(attempt_timeout, now.since(self.started), now);
+        Rank::new(&open.terms, state, attempt_timeout, ahead, now)
     }
 
     /// Returns the packet in this state whose caller gives up first.
@@ -296,7 +272,11 @@
             let longest = if terms.open_flow { terms.attempt_timeout } else { MAX_ATTEMPT_TIMEOUT };
             now.since(terms.since) >= longest
         };
-        self.waiting.extract_if(.., lost).collect()
+        let lost: Vec<WaitingOpen> = self.waiting.extract_if(.., lost).collect();
+        for open in &lost {
+            self.following.remove(&open.flow);
+        }
+        lost
     }
 
     /// Returns any one of the queued packets.
@@ -309,10 +289,35 @@
     /// Requests on open flows stay queued.
     pub fn take_any_open(&mut self) -> Option<WaitingOpen> {
         let i = self.waiting.iter().rposition(|open| !open.terms.open_flow)?;
+        self.last_taken = None;
         Some(self.waiting.swap_remove(i))
     }
 
-    /// Returns the number of queued packets.
+    /// Returns the number of queued packets by the class of their priority.
+    #[must_use]
+    pub fn waiting_by_class(&self) -> [u16; PRIORITY_CLASSES] {
+        let mut waiting = [0_u16; PRIORITY_CLASSES];
+        for open in &self.waiting {
+            let class = &mut waiting[open.terms.priority.class()];
+            *class = class.saturating_add(1);
+        }
+        waiting
+    }
+
+    /// Returns how many packets have been taken, by the reason in the order of
+    /// [`TakeReason::ALL`].
+    #[must_use]
+    pub fn taken(&self) -> [u64; TakeReason::ALL.len()] {
+        self.taken
+    }
+
+    /// Returns why the latest packet was taken; `None` if the target takes no new flows.
+    #[must_use]
+    pub fn last_taken(&self) -> Option<TakeReason> {
+        self.last_taken
+    }
+
+    /// Returns the number of queued packets, without those that follow the first of their request.
     #[must_use]
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/dillmill-core/src/target/target_flows.rs
+++ b/crates/dillmill-core/src/target/target_flows.rs
@@ -18,6 +18,9 @@
 /// Maximum distance of a caller's first acknowledgement from the target's initial sequence
 /// number.
 const FIRST_ACK_WINDOW: u32 = 1 << 16;
+/// Half of the sequence numbers: an acknowledgement within this distance after a byte is of a later
+/// byte, any other of an earlier one.
+const MAX_ACK_DISTANCE: u32 = 1 << 31;
 /// A request that has waited longer is not counted as running, because its caller has usually
 /// given up.
 const REQUEST_LIFETIME: Duration = Duration::from_secs(3);
@@ -66,6 +69,8 @@
     unqueued: bool,
     /// Whether the pending request was already recorded as overdue.
     overdue: bool,
+    /// Sequence number with which the latest answer began.
+    answer_seq: Option<u32>,
 }
 
 /// Whether a caller's packet belongs to a flow of the target.
@@ -147,6 +152,7 @@
             had_request: false,
             unqueued: false,
             overdue: false,
+            answer_seq: None,
         };
         self.unanswered_since.get_or_insert(now);
         self.flows.insert(flow, opening, now);
@@ -162,6 +168,14 @@
         seg.len > 0 && self.flows.peek(&seg.flow).is_some_and(begins)
     }
 
+    /// Returns whether a caller's packet acknowledges bytes of the latest answer on its flow. A
+    /// packet that does not is a late one of the answered request, or was sent before the answer.
+    #[must_use]
+    pub fn acknowledges_answer(&self, seg: &Segment) -> bool {
+        let answer = self.flows.peek(&seg.flow).and_then(|flow| flow.answer_seq);
+        answer.is_some_and(|seq| (1..=MAX_ACK_DISTANCE).contains(&seg.ack.wrapping_sub(seq)))
+    }
+
     /// Records a caller's packet for a target with `slots`, and returns whether it belongs to the
     /// target.
     pub fn note_caller(&mut self, seg: &Segment, slots: u16, now: Timestamp) -> FlowMatch {
@@ -263,6 +277,7 @@
                 had_request: true,
                 unqueued: false,
                 overdue: false,
+                answer_seq: None,
             };
             self.flows.insert(seg.flow, learned, now);
             return TargetPacketEffect { new: true, ..TargetPacketEffect::default() };
@@ -282,6 +297,9 @@
         }
         let request = if seg.len > 0 { flow.request.take() } else { None };
         let answered = request.map(|since| now.since(since));
+        if answered.is_some() {
+            flow.answer_seq = Some(seg.seq);
+        }
         if let Some(took) = answered {
             self.last_answer = now;
             match self.norms.note(seg.flow.route(), took, seg.len) {
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -28,7 +28,7 @@
             queued: count(load.requests - in_use),
             flows: load.flows,
             pace: self.gate.pace(now),
-            detail: LoadDetail::default(),
+            detail: LoadDetail { waiting: self.gate.waiting_by_class(), ..LoadDetail::default() },
         }
     }
 
@@ -62,6 +62,12 @@
         let report = self.current_load(now);
         self.counters.requests.set(i64::from(report.in_use) + i64::from(report.queued));
         self.counters.waiting.set(i64::try_from(self.gate.waiting()).unwrap_or(i64::MAX));
+        for (gauge, waiting) in self.counters.waiting_by_class.iter().zip(report.detail.waiting) {
+            gauge.set(i64::from(waiting));
+        }
+        for (counter, taken) in self.counters.taken.iter().zip(self.gate.taken()) {
+            counter.inc_by(taken.saturating_sub(counter.get()));
+        }
         self.handle.metrics.flows.set(i64::from(report.flows));
         self.report_subscribers
             .retain(|_, subscriber| now.since(subscriber.last_new_flow) < SUBSCRIPTION_PERIOD);
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -1,7 +1,7 @@
-//! Queues opening packets until the target can take them.
+//! Queues opening packets, and requests on open flows, until the target can take them.
 
 use dillmill_core::flow_gate::GateContext;
-use dillmill_core::open_queue::{WaitTerms, WaitingOpen};
+use dillmill_core::open_queue::{TakeReason, WaitTerms, WaitingOpen};
 use dillmill_core::{Envelope, Segment, SegmentKind, Timestamp};
 use dillmill_platform::packet::{self, Sender};
 
@@ -9,7 +9,7 @@
 use crate::decision_log::format_millis;
 
 impl AgentTask {
-    /// Queues an opening packet for the target.
+    /// Queues an opening packet, or a packet of a request on an open flow, for the target.
     pub(super) fn enqueue_open(
         &mut self,
         seg: &Segment,
@@ -38,6 +38,20 @@
         }
     }
 
+    /// Logs that the turn of a packet has come, if it is ordered by priority.
+    fn log_turn(&mut self, open: &WaitingOpen, now: Timestamp) {
+        let terms = &open.terms;
+        if !terms.policy.priority_order {
+            return;
+        }
+        let gate = &self.gate;
+        self.log.flow(now, &open.flow, "taken from the queue", || {
+            let reason = gate.last_taken().map_or("target takes no new flows", TakeReason::label);
+            let (waited, waiting) = (format_millis(now.since(terms.since)), gate.waiting());
+            format!("{reason}, priority {}, has waited {waited}, {waiting} wait", terms.priority)
+        });
+    }
+
     pub(super) fn remove_from_queue(&mut self, seg: &Segment) {
         if matches!(seg.kind, SegmentKind::Open { .. }) {
             self.gate.no_longer_waits(&seg.flow);
@@ -52,6 +66,7 @@
         }
         while let Some(open) = self.gate.next_waiting(now) {
             let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { continue };
+            self.log_turn(&open, now);
             let context = GateContext {
                 agents: &self.agents,
                 routes: &self.routes,
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and histograms of packet flows.
 
+use dillmill_core::PRIORITY_CLASSES;
+use dillmill_core::open_queue::TakeReason;
 use dillmill_node::{Metrics, NodeError};
 use prometheus::{Histogram, IntCounter, IntGauge};
 
@@ -7,6 +9,9 @@
 /// centre to a caller's deadline.
 const WAIT_BUCKETS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
+/// Labels of the classes of priorities; the last one holds all lower priorities.
+const PRIORITY_LABELS: [&str; PRIORITY_CLASSES] = ["0", "1", "2", "lower"];
+
 /// Metrics of a balancer.
 #[derive(Debug, Clone)]
 pub struct BalancerCounters {
@@ -69,8 +74,12 @@
     pub heartbeats_refused: IntCounter,
     /// Requests that are open now: their answers are outstanding.
     pub requests: IntGauge,
-    /// Opening packets that are queued for the target now.
+    /// Opening packets and requests on open flows that are queued for the target now.
     pub waiting: IntGauge,
+    /// The same by the class of their priority.
+    pub waiting_by_class: Vec<IntGauge>,
+    /// Packets that left the queue for the target, for each of [`TakeReason::ALL`].
+    pub taken: Vec<IntCounter>,
     /// Time from the first bytes of a request to the first bytes of its answer, in seconds.
     pub answer_seconds: Histogram,
 }
@@ -100,7 +109,19 @@
             )?,
             requests: metrics.gauge("dillmill_flow_requests", "Requests without an answer now")?,
             waiting: metrics
-                .gauge("dillmill_flow_waiting", "New flows that wait for the target now")?,
+                .gauge("dillmill_flow_waiting", "Packets that wait for the target now")?,
+            waiting_by_class: metrics.gauges(
+                "dillmill_flow_waiting_by_priority",
+                "Packets that wait for the target now, by the priority of their routes",
+                "priority",
+                &PRIORITY_LABELS,
+            )?,
+            taken: metrics.counters(
+                "dillmill_flow_taken",
+                "Packets that left the queue for the target, by reason",
+                "reason",
+                &TakeReason::ALL.map(TakeReason::label),
+            )?,
             answer_seconds: metrics.histogram(
                 "dillmill_flow_answer_seconds",
                 "First bytes of a request to first bytes of its answer",
--- a/crates/dillmill-node/src/metrics.rs
+++ b/crates/dillmill-node/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics that every process exports; each role adds its own to the same registry.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::{NodeError, Traffic};
@@ -125,6 +126,42 @@
         gauge(&self.registry, name, help)
     }
 
+    /// Registers one counter for each of `values`, which its label `label` has.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is already registered.
+    pub fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: &[&str],
+    ) -> Result<Vec<IntCounter>, NodeError> {
+        let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+        let family = IntCounterVec::new(Opts::new(name, help), &[label]).map_err(error)?;
+        self.registry.register(Box::new(family.clone())).map_err(error)?;
+        Ok(values.iter().map(|value| family.with_label_values(&[value])).collect())
+    }
+
+    /// Registers one gauge for each of `values`, which its label `label` has.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is already registered.
+    pub fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: &[&str],
+    ) -> Result<Vec<IntGauge>, NodeError> {
+        let error = |e: prometheus::Error| NodeError::new("register metric", name, e);
+        let family = IntGaugeVec::new(Opts::new(name, help), &[label]).map_err(error)?;
+        self.registry.register(Box::new(family.clone())).map_err(error)?;
+        Ok(values.iter().map(|value| family.with_label_values(&[value])).collect())
+    }
+
     /// Registers a histogram whose buckets have the upper bounds `bounds`.
     ///
     /// # Errors
