fix(core): last chances get a bounded share of turns

Cause: under a lasting load beyond the slots, each surplus request comes to its last chance and took the turn of one that could be answered in time, which then became surplus itself. Change: while packets wait that can be answered in time, last chances get 25 percent of the turns.

--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -22,7 +22,9 @@
 //! 3. Late packets, by priority, oldest first within one priority.
 //! 4. Packets whose callers have probably given up.
 //!
-//! A share of the turns of 2 and 3 goes to the first packet with a lower priority than the first of
+//! While packets of 2 wait, last chances get only a share of the turns. Under a lasting overload
+//! every surplus request comes to its last chance, and would take the turn of one that can be in
+//! time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the first of
 //! all. Priority applies only within each class: late packets ahead of others that can be in time
 //! would make those late as well.
 //!
@@ -44,7 +46,7 @@
 
 use following::FollowingPackets;
 pub use serving_order::TakeReason;
-use serving_order::{LowPriorityTurns, Rank};
+use serving_order::{LAST_CHANCE_SHARE, Rank, TurnShare};
 use wait_terms::WaitState;
 pub use wait_terms::{WaitTerms, wait_limit, waiting_since};
 
@@ -74,7 +76,8 @@
     /// Learned attempt timeout of the callers of each route.
     estimators: HashMap<SocketAddrV4, AttemptTimeoutEstimator>,
     following: FollowingPackets,
-    low_priority: LowPriorityTurns,
+    low_priority: TurnShare,
+    last_chance: TurnShare,
     taken: [u64; TakeReason::ALL.len()],
     last_taken: Option<TakeReason>,
 }
@@ -88,7 +91,8 @@
             started: now,
             estimators: HashMap::new(),
             following: FollowingPackets::default(),
-            low_priority: LowPriorityTurns::default(),
+            low_priority: TurnShare::default(),
+            last_chance: TurnShare::default(),
             taken: [0; TakeReason::ALL.len()],
             last_taken: None,
         }
@@ -224,14 +228,23 @@
     /// is one of theirs.
     fn next_by_priority(&mut self, ahead: Duration, now: Timestamp) -> Option<(usize, TakeReason)> {
         let ranks: Vec<Rank> = self.waiting.iter().map(|o| self.rank(o, ahead, now)).collect();
-        let ranked = || ranks.iter().copied().enumerate();
-        let (head, rank) = ranked().min_by_key(|(_, rank)| *rank)?;
+        let first = |from: &dyn Fn(Rank) -> bool| {
+            let such = ranks.iter().copied().enumerate().filter(|(_, rank)| from(*rank));
+            such.min_by_key(|(_, rank)| *rank)
+        };
+        let mut head = first(&|_| true)?;
+        if matches!(head.1, Rank::LastChance(_))
+            && let Some(in_time) = first(&|rank| matches!(rank, Rank::InTime(..)))
+            && !self.last_chance.next(LAST_CHANCE_SHARE)
+        {
+            head = in_time;
+        }
+        let (head, rank) = head;
         let below = |other: Rank| Some(rank.priority()?.is_above(other.priority()?));
-        let lower = ranked().filter(|(_, other)| below(*other) == Some(true));
-        let lower = lower.min_by_key(|(_, rank)| *rank).map(|(i, _)| i);
+        let lower = first(&|other| below(other) == Some(true));
         let share = self.waiting[head].terms.policy.low_priority_share;
         match lower {
-            Some(lower) if self.low_priority.next(share) => {
+            Some((lower, _)) if self.low_priority.next(share) => {
                 Some((lower, TakeReason::LowPriorityTurn))
             }
             _ => Some((head, rank.reason())),
--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -13,6 +13,11 @@
 /// The last chance is at most this fraction of a route's timeout. Otherwise most requests of routes
 /// with a short timeout would go ahead of higher priorities.
 const LAST_CHANCE_DIVISOR: u32 = 4;
+/// Share of the turns that last chances get while packets wait that can be answered in time: the
+/// surplus of requests at 1.25 times the slots, the highest lasting load that is required. With all
+/// turns, a lasting load of 1.2 would leave the target to requests that have waited for nearly their
+/// whole timeout, ahead of higher priorities.
+pub(super) const LAST_CHANCE_SHARE: Percent = Percent(25);
 /// Turns are counted in hundredths, as their share is a percentage.
 const WHOLE_TURN: u32 = 100;
 
@@ -121,16 +126,15 @@
     }
 }
 
-/// Counts the turns for which packets of several priorities compete, and gives a share of them to
-/// the lower ones.
+/// Gives a share of the turns for which packets compete to those that come later in the order.
 #[derive(Debug, Default)]
-pub(super) struct LowPriorityTurns {
-    /// Hundredths of a turn that are due to lower priorities.
+pub(super) struct TurnShare {
+    /// Hundredths of a turn that are due.
     due: u32,
 }
 
-impl LowPriorityTurns {
-    /// Counts one turn; returns whether it goes to a lower priority.
+impl TurnShare {
+    /// Counts one turn; returns whether it belongs to the share.
     pub(super) fn next(&mut self, share: Percent) -> bool {
         self.due += u32::from(share.0);
         let taken = self.due >= WHOLE_TURN;
