docs(core): comment and value of FAR_PENALTY agree

The value is 350 thousandths of the slots; the comment called this one and a half of five slots, which are 300. The value stays, and the comment now says one and three quarters.

--- a/crates/dillmill-core/src/flow/flow_placement.rs
+++ b/crates/dillmill-core/src/flow/flow_placement.rs
@@ -23,7 +23,8 @@
 /// Interval of the probes to an agent that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Load in use, in thousandths of the slots, that a flow must avoid to be sent to another data
-/// centre: one and a half of five slots. Traffic between data centres costs, but a wait costs more.
+/// centre: one and three quarters of five slots. Traffic between data centres costs, but a wait costs
+/// more.
 const FAR_PENALTY: u32 = 350;
 /// Bytes that callers send in a flow to another data centre that weigh as much as a thousandth of
 /// the slots. An upload of 40 kB stays in its data centre unless all targets there are a full round
