feat(core,flow): target speed, demand of open flows, and placement by both

Cause: the mean service time of a target follows the few requests that take many times as long, a target counts as slow only from twice the typical time, an open flow has a fixed weight, and packets that wait at the agent don't count in placement.

Change: the service time is estimated per route with capped observations, and the speed of the target as a ratio to it. Answers that are outliers (errors at once) no longer count. Placement counts waiting packets and the reported demand, and speed from 1.25 times the typical time in both directions. Metrics: dillmill_flow_service_time_ms, dillmill_flow_demand.

--- a/crates/dillmill-core/src/flow.rs
+++ b/crates/dillmill-core/src/flow.rs
@@ -6,6 +6,7 @@
 //! | [`flow_gate`] | an agent's decision on each packet: deliver, queue, pass on, search, refuse |
 //! | [`flow_placement`] | a balancer's choice of the agent for a new flow, by reported load |
 //! | [`flow_volume`] | bytes that callers send in a flow of a service |
+//! | [`flow_kinds`] | which routes have flows that carry several requests |
 //! | [`route_table`] | routes in force, by address |
 //! | [`agent_table`] | agents known to a process, by service, ring position and address |
 //! | [`home_table`] | agent that receives the first packet of a QUIC flow |
@@ -23,6 +24,7 @@
 pub mod envelope;
 pub mod flow_directory;
 pub mod flow_gate;
+pub mod flow_kinds;
 pub mod flow_placement;
 pub mod flow_volume;
 pub mod home_table;
@@ -30,3 +32,4 @@
 pub mod pending_searches;
 pub mod registrations;
 pub mod route_table;
+mod target_cost;
--- a/crates/dillmill-core/src/flow/flow_gate/target.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/target.rs
@@ -171,7 +171,12 @@
         let waiting = u32::try_from(self.opens.len()).unwrap_or(u32::MAX);
         let received = self.cold.received(now).saturating_add(waiting);
         let cold = self.cold.limit(now).map(|limit| ColdLoad { limit, received });
-        TargetPace { work: self.flows.work(), cold }
+        TargetPace { work: self.flows.measured_work().unwrap_or_default(), cold }
+    }
+
+    /// Returns the load that the open flows are expected to bring, in thousandths of a slot.
+    pub fn flow_demand(&mut self, now: Timestamp) -> u32 {
+        self.flows.flow_demand(now)
     }
 
     /// Returns the number of slots of the target.
--- a/crates/dillmill-core/src/flow/flow_placement.rs
+++ b/crates/dillmill-core/src/flow/flow_placement.rs
@@ -8,10 +8,13 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use super::target_cost::target_cost;
 use crate::agent_table::{AgentEntry, AgentTable};
+use crate::flow_kinds::{FlowKind, FlowKinds};
 use crate::flow_volume::FlowVolume;
 use crate::placement::LoadReport;
-use crate::target_flows::INITIAL_SERVICE_TIME;
+use crate::segment::Segment;
+use crate::service_time::INITIAL_SERVICE_TIME;
 use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
 
 /// Time without a report after which an agent is silent and gets new flows only when the others are
@@ -36,22 +39,10 @@
 /// most agents report late after a restart of all processes, and all flows would go to the one that
 /// does not.
 const SILENT_PENALTY: u32 = 1500;
-/// Load of an idle open flow, in thousandths of a slot: one request of some 50 ms a second.
-const IDLE_FLOW_LOAD: u32 = 50;
-
-/// A target is slow if it takes this many times the typical time of its service for a request. The
-/// mean of a few answers of a healthy target stays well below.
-const SLOW_FACTOR: u32 = 2;
 /// Divisor of the typical time that gives the step by which each report moves it up or down. At
 /// equilibrium, half of the reports are above the typical time and half below.
 const TYPICAL_STEP_DIVISOR: u32 = 50;
 
-/// Converts `span` to thousandths of `unit`.
-fn thousandths(span: Duration, unit: Duration) -> u32 {
-    let n = span.as_micros() * 1000 / unit.as_micros().max(1);
-    u32::try_from(n).unwrap_or(u32::MAX / 4).min(u32::MAX / 4)
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Load {
     report: LoadReport,
@@ -86,6 +77,7 @@
 pub struct FlowPlacement {
     loads: HashMap<ProcessId, Load>,
     volumes: HashMap<ServiceTag, FlowVolume>,
+    kinds: FlowKinds,
     /// Time within which half of the targets of each service complete a request: a running estimate
     /// of the median.
     typical_work: HashMap<ServiceTag, Duration>,
@@ -112,6 +104,11 @@
         self.volumes.entry(service).or_default().count_bytes(bytes);
     }
 
+    /// Observes a caller's packet of an open flow, to learn which routes have long-lived flows.
+    pub fn note_packet(&mut self, seg: &Segment, now: Timestamp) {
+        self.kinds.note(seg, now);
+    }
+
     /// Returns how much load, in thousandths of the slots, a flow of `service` must avoid to be
     /// sent to another data centre.
     fn far_penalty(&self, service: ServiceTag) -> u32 {
@@ -181,7 +178,8 @@
         except: Option<ProcessId>,
         now: Timestamp,
     ) -> Option<&'a AgentEntry> {
-        let cost = |a: &&AgentEntry| (self.cost(a, now), flow.score(a.process.0));
+        let kind = self.kinds.of(flow.route());
+        let cost = |a: &&AgentEntry| (self.cost(a, kind, now), flow.score(a.process.0));
         let open = || agents.taking_new(service).filter(|a| a.slots > 0);
         let best = open()
             .filter(|a| Some(a.process) != except)
@@ -200,29 +198,11 @@
         self.typical_work.get(&service).copied().unwrap_or(INITIAL_SERVICE_TIME)
     }
 
-    fn cost(&self, agent: &AgentEntry, now: Timestamp) -> u32 {
+    fn cost(&self, agent: &AgentEntry, kind: FlowKind, now: Timestamp) -> i64 {
         let far = if agent.near { 0 } else { self.far_penalty(agent.service) };
         let silent = if self.silent(agent.process, now) { SILENT_PENALTY } else { 0 };
-        let Some(load) = self.loads.get(&agent.process) else { return far };
-        target_cost(&load.report, load.sent, self.typical_work_of(agent.service)) + far + silent
-    }
-}
-
-/// Returns the cost of a new flow at a target to which `sent` flows have gone since its report, in
-/// thousandths of `typical_work`, the typical time of a request.
-///
-/// By its slots alone, a cold target would get as many flows as a warm one.
-fn target_cost(report: &LoadReport, sent: u32, typical_work: Duration) -> u32 {
-    if let Some(cold) = report.pace.cold {
-        let until_room = Duration::from_secs(1) * (cold.received + sent) / cold.limit.max(1);
-        return thousandths(until_room, typical_work);
-    }
-    let slots = u32::from(report.slots.0.max(1));
-    let requests = u32::from(report.in_use) + u32::from(report.queued) + sent;
-    let ahead = (requests * 1000 + report.flows * IDLE_FLOW_LOAD) / slots;
-    if report.pace.work < typical_work * SLOW_FACTOR {
-        return ahead;
+        let Some(load) = self.loads.get(&agent.process) else { return i64::from(far) };
+        let typical_work = self.typical_work_of(agent.service);
+        target_cost(&load.report, load.sent, kind, typical_work) + i64::from(far + silent)
     }
-    let work = thousandths(report.pace.work, typical_work);
-    work - 1000 + thousandths(report.pace.work * ahead / 1000, typical_work)
 }
--- /dev/null
+++ b/crates/dillmill-core/src/flow/target_cost.rs
@@ -0,0 +1,59 @@
+//! Cost of a new flow at a target, from the target's load report.
+
+use std::time::Duration;
+
+use crate::flow_kinds::FlowKind;
+use crate::placement::LoadReport;
+
+/// Load of an open flow in thousandths of a slot, if the agent does not report the demand of its flows:
+/// one request of some 50 ms a second.
+const IDLE_FLOW_LOAD: u32 = 50;
+/// Difference in speed, in thousandths of the typical time of the service, from which it counts: 1.25
+/// times the typical time, or a 1.25th of it. Estimates of equal targets mostly differ by less.
+const NOTABLE_SPEED: std::ops::Range<u64> = 800..1250;
+/// Share of a request's own longer time in its cost, in thousandths. Not all of it counts, because the
+/// longer time delays only the caller of the request, while a queue delays all callers behind it.
+const OWN_WORK_SHARE: i64 = 350;
+
+/// Converts `span` to thousandths of `unit`.
+fn thousandths(span: Duration, unit: Duration) -> u64 {
+    let n = span.as_micros() * 1000 / unit.as_micros().max(1);
+    u64::try_from(n).unwrap_or(u64::MAX).min(u64::from(u32::MAX))
+}
+
+/// Returns the cost of a new flow at a target to which `sent` flows have gone since its report, in
+/// thousandths of `typical_work`, the typical time of a request.
+///
+/// By its slots alone, a cold target would get as many flows as a warm one.
+pub(super) fn target_cost(
+    report: &LoadReport,
+    sent: u32,
+    kind: FlowKind,
+    typical_work: Duration,
+) -> i64 {
+    if let Some(cold) = report.pace.cold {
+        let until_room = Duration::from_secs(1) * (cold.received + sent) / cold.limit.max(1);
+        return thousandths(until_room, typical_work).cast_signed();
+    }
+    let ahead = load_ahead(report, sent, kind).cast_signed();
+    let work = thousandths(report.pace.work, typical_work);
+    if report.pace.work.is_zero() || NOTABLE_SPEED.contains(&work) {
+        return ahead;
+    }
+    let work = work.cast_signed();
+    (work - 1000) * OWN_WORK_SHARE / 1000 + work * ahead / 1000
+}
+
+/// Returns the load ahead of a new flow, in thousandths of the slots.
+fn load_ahead(report: &LoadReport, sent: u32, kind: FlowKind) -> u64 {
+    let present = u32::from(report.in_use) + u32::from(report.queued);
+    let present = u64::from(present + report.detail.waiting_total()) * 1000;
+    let (present, flows) = match (report.detail.flow_demand, kind) {
+        (Some(demand), FlowKind::OneOff) => (present, u64::from(demand)),
+        // A long-lived flow meets the present requests only once, and the other flows for as long as
+        // it is open.
+        (Some(demand), FlowKind::LongLived) => (present / 2, u64::from(demand)),
+        (None, _) => (present, u64::from(report.flows) * u64::from(IDLE_FLOW_LOAD)),
+    };
+    (present + u64::from(sent) * 1000 + flows) / u64::from(report.slots.0.max(1))
+}
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -57,8 +57,8 @@
 pub use duties::{evacuations, start_delay, store_selection, watcher_selection};
 pub use flow::{
     agent_table, directory_catch_up, early_packets, envelope, flow_directory, flow_gate,
-    flow_placement, flow_volume, home_table, owner_cache, pending_searches, registrations,
-    route_table,
+    flow_kinds, flow_placement, flow_volume, home_table, owner_cache, pending_searches,
+    registrations, route_table,
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
@@ -67,7 +67,8 @@
 };
 pub use membership::member;
 pub use target::{
-    answer_norms, caller_packets, outcomes, target_flows, target_pace, target_run, target_runs,
+    answer_norms, caller_packets, flow_demand, outcomes, service_time, target_flows, target_pace,
+    target_run, target_runs, target_speed,
 };
 
 pub use agent_table::{AgentEntry, AgentTable};
--- a/crates/dillmill-core/src/load/placement.rs
+++ b/crates/dillmill-core/src/load/placement.rs
@@ -16,6 +16,8 @@
 use crate::{PRIORITY_CLASSES, ProcessId, Slots, TargetPace, Timestamp, trailing};
 
 const REPORT_LIFETIME: Duration = Duration::from_millis(2500);
+/// Change of the demand of open flows that justifies a report, in thousandths of a slot.
+const NOTABLE_DEMAND: u32 = 500;
 
 /// Policy for choosing the agent that runs a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -80,13 +82,19 @@
         Self { process, slots: Slots(slots), in_use: 0, queued: 0, flows: 0, pace, detail }
     }
 
-    /// Returns whether the report differs from `before` in more than the service time. That
-    /// changes with every answer, and alone does not justify a message.
+    /// Returns whether the report differs from `before` in more than the service time and the
+    /// demand of open flows. They change all the time, and a small change alone does not justify a
+    /// message.
     #[must_use]
     pub fn differs_notably_from(&self, before: &Self) -> bool {
         let work = before.pace.work;
         let pace = TargetPace { work, ..self.pace };
-        Self { pace, ..*self } != *before
+        let demand = |report: &Self| report.detail.flow_demand.unwrap_or(0);
+        if demand(self).abs_diff(demand(before)) >= NOTABLE_DEMAND {
+            return true;
+        }
+        let detail = LoadDetail { flow_demand: before.detail.flow_demand, ..self.detail };
+        Self { pace, detail, ..*self } != *before
     }
 }
 
--- a/crates/dillmill-core/src/target.rs
+++ b/crates/dillmill-core/src/target.rs
@@ -6,14 +6,21 @@
 //! | [`target_run`] | identity of one run of a target |
 //! | [`target_runs`] | run of the target that a heartbeat belongs to |
 //! | [`target_pace`] | measured speed of a target |
+//! | [`target_speed`] | estimate of the speed of a target |
+//! | [`service_time`] | usual time of a route's requests |
+//! | [`flow_demand`] | load that open flows are expected to bring |
 //! | [`outcomes`] | ejection of a target that fails requests |
 //! | [`answer_norms`] | which answers are outliers |
 //! | [`caller_packets`] | packets of callers with which a new run is asked for its flows |
 
 pub mod answer_norms;
 pub mod caller_packets;
+pub mod flow_demand;
 pub mod outcomes;
+pub mod service_time;
 pub mod target_flows;
 pub mod target_pace;
 pub mod target_run;
 pub mod target_runs;
+pub mod target_speed;
+mod tracked_flow;
--- a/crates/dillmill-core/src/target/target_flows.rs
+++ b/crates/dillmill-core/src/target/target_flows.rs
@@ -3,10 +3,13 @@
 
 use std::time::Duration;
 
+use super::tracked_flow::{Stage, TrackedFlow};
 use crate::answer_norms::{AnswerKind, AnswerNorms};
+use crate::flow_demand::FlowDemand;
 use crate::generation_cache::GenerationCache;
 use crate::outcomes::Outcomes;
 use crate::segment::{Segment, SegmentKind};
+use crate::target_speed::TargetSpeed;
 use crate::{FlowTuple, Timestamp};
 
 /// How long a flow is kept after its last packet: longer than any sensible idle timeout of a
@@ -18,12 +21,6 @@
 /// Maximum distance of a caller's first acknowledgement from the target's initial sequence
 /// number.
 const FIRST_ACK_WINDOW: u32 = 1 << 16;
-/// A request that has waited longer is not counted as running, because its caller has usually
-/// given up.
-const REQUEST_LIFETIME: Duration = Duration::from_secs(3);
-/// How long a new flow counts as a request before its first bytes arrive: about two round trips
-/// between data centres.
-const FIRST_REQUEST_WINDOW: Duration = Duration::from_millis(30);
 
 /// Silence after which a target is considered crashed or stalled. A running target answers at
 /// once each packet that requires an answer, and its agent is beside it, so only the target's own
@@ -34,39 +31,6 @@
 const OVERDUE_FACTOR: u32 = 8;
 /// Minimum time before a request is overdue, to allow for pauses of the target and its agent.
 const OVERDUE_MIN: Duration = Duration::from_millis(250);
-/// Service time assumed before any request was observed.
-pub const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(50);
-/// Inverse weight of an observation in the average service time, which settles after some ten
-/// requests.
-const SMOOTHING_DIVISOR: u32 = 8;
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    /// The opening packet was delivered to the target.
-    Opening,
-    /// The caller has acknowledged the target, or data has passed.
-    Open,
-    /// Either end has finished or reset the flow.
-    Closed,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct TargetFlow {
-    stage: Stage,
-    target_seq: Option<u32>,
-    taken_at: Timestamp,
-    /// Number of the byte that the caller expects next.
-    caller_expects: u32,
-    /// When the pending request began, if there is one.
-    request: Option<Timestamp>,
-    /// Whether a request has arrived, so that the flow is no longer expected to bring its first.
-    had_request: bool,
-    /// Whether the pending request began while a slot was free, so that its duration is the
-    /// service time alone.
-    unqueued: bool,
-    /// Whether the pending request was already recorded as overdue.
-    overdue: bool,
-}
 
 /// Whether a caller's packet belongs to a flow of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,10 +70,9 @@
 /// The flows of one target, with the measurements taken from them.
 #[derive(Debug)]
 pub struct TargetFlows {
-    flows: GenerationCache<FlowTuple, TargetFlow>,
-    /// Service time: moving average of the time that the target takes for a request that does not
-    /// queue.
-    work: Duration,
+    flows: GenerationCache<FlowTuple, TrackedFlow>,
+    speed: TargetSpeed,
+    demand: FlowDemand,
     outcomes: Outcomes,
     norms: AnswerNorms,
     /// Time of the first packet since which the target has answered nothing.
@@ -122,7 +85,8 @@
     fn default() -> Self {
         Self {
             flows: GenerationCache::new(FLOW_LIFETIME, CAPACITY),
-            work: INITIAL_SERVICE_TIME,
+            speed: TargetSpeed::default(),
+            demand: FlowDemand::default(),
             outcomes: Outcomes::default(),
             norms: AnswerNorms::default(),
             unanswered_since: None,
@@ -138,25 +102,15 @@
         if copies > 0 && self.flows.get_mut(&flow, now).is_some() {
             return false;
         }
-        let opening = TargetFlow {
-            stage: Stage::Opening,
-            target_seq: None,
-            taken_at: now,
-            caller_expects: 0,
-            request: None,
-            had_request: false,
-            unqueued: false,
-            overdue: false,
-        };
         self.unanswered_since.get_or_insert(now);
-        self.flows.insert(flow, opening, now);
+        self.flows.insert(flow, TrackedFlow::opening(now), now);
         true
     }
 
     /// Returns whether a caller's packet begins a request that is not the first of its flow.
     #[must_use]
     pub fn begins_further(&self, seg: &Segment) -> bool {
-        let begins = |flow: &TargetFlow| {
+        let begins = |flow: &TrackedFlow| {
             flow.stage == Stage::Open && flow.had_request && flow.request.is_none()
         };
         seg.len > 0 && self.flows.peek(&seg.flow).is_some_and(begins)
@@ -167,7 +121,7 @@
     pub fn note_caller(&mut self, seg: &Segment, slots: u16, now: Timestamp) -> FlowMatch {
         // Computing the load visits all flows, so it is done only for the first packet of a
         // request.
-        let begins = |flow: &TargetFlow| seg.len > 0 && flow.request.is_none();
+        let begins = |flow: &TrackedFlow| seg.len > 0 && flow.request.is_none();
         let unqueued = self.flows.peek(&seg.flow).is_some_and(begins)
             && self.load(now).requests <= u32::from(slots);
         let Some(flow) = self.flows.get_mut(&seg.flow, now) else { return FlowMatch::Unknown };
@@ -195,6 +149,9 @@
             }
             _ => {}
         }
+        if further {
+            self.demand.note_further(seg.flow.route());
+        }
         FlowMatch::Held { further }
     }
 
@@ -234,7 +191,7 @@
     /// A target that takes requests and answers none appears busy, and keeps the requests until
     /// their callers give up.
     pub fn note_overdue(&mut self, slots: u16, now: Timestamp) {
-        let limit = (self.work * OVERDUE_FACTOR).max(OVERDUE_MIN);
+        let limit = (self.work() * OVERDUE_FACTOR).max(OVERDUE_MIN);
         for (_, flow) in self.flows.iter_mut() {
             let Some(since) = flow.request.filter(|_| flow.stage == Stage::Open) else { continue };
             if !flow.overdue && now.since(since) >= limit {
@@ -253,18 +210,7 @@
             if seg.kind == SegmentKind::Reset {
                 return TargetPacketEffect { stray_reset: true, ..TargetPacketEffect::default() };
             }
-            let accept = seg.kind == SegmentKind::Accept;
-            let learned = TargetFlow {
-                stage: if accept { Stage::Opening } else { Stage::Open },
-                target_seq: accept.then_some(seg.seq),
-                taken_at: now,
-                caller_expects: seg.seq,
-                request: None,
-                had_request: true,
-                unqueued: false,
-                overdue: false,
-            };
-            self.flows.insert(seg.flow, learned, now);
+            self.flows.insert(seg.flow, TrackedFlow::seen_at_target(seg, now), now);
             return TargetPacketEffect { new: true, ..TargetPacketEffect::default() };
         };
         let stray_reset = seg.kind == SegmentKind::Reset && flow.stage == Stage::Opening;
@@ -282,24 +228,49 @@
         }
         let request = if seg.len > 0 { flow.request.take() } else { None };
         let answered = request.map(|since| now.since(since));
+        let unqueued = flow.unqueued;
         if let Some(took) = answered {
-            self.last_answer = now;
-            match self.norms.note(seg.flow.route(), took, seg.len) {
-                AnswerKind::Usual => self.outcomes.answer(),
-                AnswerKind::Outlier { threshold } => self.outcomes.outlier_answer(threshold, now),
-            }
-        }
-        if let Some(took) = answered.filter(|_| flow.unqueued) {
-            self.work = (self.work * (SMOOTHING_DIVISOR - 1) + took) / SMOOTHING_DIVISOR;
+            self.note_answer(seg, took, unqueued, now);
         }
         TargetPacketEffect { new: false, answered, stray_reset }
     }
 
+    /// Records an answer that began after `took`.
+    fn note_answer(&mut self, seg: &Segment, took: Duration, unqueued: bool, now: Timestamp) {
+        self.last_answer = now;
+        match self.norms.note(seg.flow.route(), took, seg.len) {
+            AnswerKind::Usual => {
+                self.outcomes.answer();
+                if unqueued {
+                    self.speed.note(seg.flow.route(), took);
+                }
+            }
+            // Errors that come at once must not make the target count as fast.
+            AnswerKind::Outlier { threshold } => self.outcomes.outlier_answer(threshold, now),
+        }
+    }
+
     /// Returns the service time: the time that the target takes for a request that does not
     /// queue.
     #[must_use]
     pub fn work(&self) -> Duration {
-        self.work
+        self.speed.work()
+    }
+
+    /// Returns the service time once the target has answered enough requests to tell.
+    #[must_use]
+    pub fn measured_work(&self) -> Option<Duration> {
+        self.speed.measured_work()
+    }
+
+    /// Returns the load that the open flows are expected to bring, in thousandths of a slot.
+    pub fn flow_demand(&mut self, now: Timestamp) -> u32 {
+        if self.demand.is_due(now) {
+            let open = self.flows.iter().filter(|(_, flow)| flow.stage == Stage::Open);
+            let routes = open.map(|(tuple, _)| tuple.route());
+            self.demand.update(routes, |route| self.speed.seconds_of(route), now);
+        }
+        self.demand.thousandths()
     }
 
     /// Removes a flow after the target returned one of its packets because it does not hold the
@@ -317,7 +288,8 @@
     /// Flows taken before `ended` belonged to the previous run and are removed. Returns those of
     /// them that were open.
     pub fn new_run(&mut self, ended: Option<Timestamp>) -> Vec<EndedFlow> {
-        self.work = INITIAL_SERVICE_TIME;
+        self.speed = TargetSpeed::default();
+        self.demand = FlowDemand::default();
         self.outcomes = Outcomes::default();
         self.norms = AnswerNorms::default();
         self.last_answer = Timestamp::default();
@@ -356,16 +328,8 @@
     pub fn load(&self, now: Timestamp) -> TargetLoad {
         let mut load = TargetLoad::default();
         for (_, flow) in self.flows.iter() {
-            let expected = !flow.had_request && now.since(flow.taken_at) < FIRST_REQUEST_WINDOW;
-            let running = flow.request.is_some_and(|since| now.since(since) < REQUEST_LIFETIME);
-            match flow.stage {
-                Stage::Opening => load.requests += u32::from(expected),
-                Stage::Open => {
-                    load.flows += 1;
-                    load.requests += u32::from(running || expected);
-                }
-                Stage::Closed => {}
-            }
+            load.requests += u32::from(flow.has_request(now));
+            load.flows += u32::from(flow.stage == Stage::Open);
         }
         load
     }
--- /dev/null
+++ b/crates/dillmill-core/src/target/tracked_flow.rs
@@ -0,0 +1,81 @@
+//! What an agent tracks of one flow of its target.
+
+use std::time::Duration;
+
+use crate::Timestamp;
+use crate::segment::{Segment, SegmentKind};
+
+/// A request that has waited longer is not counted as running, because its caller has usually
+/// given up.
+const REQUEST_LIFETIME: Duration = Duration::from_secs(3);
+/// How long a new flow counts as a request before its first bytes arrive: about two round trips
+/// between data centres.
+const FIRST_REQUEST_WINDOW: Duration = Duration::from_millis(30);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The opening packet was delivered to the target.
+    Opening,
+    /// The caller has acknowledged the target, or data has passed.
+    Open,
+    /// Either end has finished or reset the flow.
+    Closed,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct TrackedFlow {
+    pub(super) stage: Stage,
+    pub(super) target_seq: Option<u32>,
+    pub(super) taken_at: Timestamp,
+    /// Number of the byte that the caller expects next.
+    pub(super) caller_expects: u32,
+    /// When the pending request began, if there is one.
+    pub(super) request: Option<Timestamp>,
+    /// Whether a request has arrived, so that the flow is no longer expected to bring its first.
+    pub(super) had_request: bool,
+    /// Whether the pending request began while a slot was free, so that its duration is the
+    /// service time alone.
+    pub(super) unqueued: bool,
+    /// Whether the pending request was already recorded as overdue.
+    pub(super) overdue: bool,
+}
+
+impl TrackedFlow {
+    /// Returns a flow whose opening packet is delivered to the target.
+    pub(super) fn opening(now: Timestamp) -> Self {
+        Self {
+            stage: Stage::Opening,
+            target_seq: None,
+            taken_at: now,
+            caller_expects: 0,
+            request: None,
+            had_request: false,
+            unqueued: false,
+            overdue: false,
+        }
+    }
+
+    /// Returns a flow that is first seen by a packet of the target.
+    pub(super) fn seen_at_target(seg: &Segment, now: Timestamp) -> Self {
+        let accept = seg.kind == SegmentKind::Accept;
+        Self {
+            stage: if accept { Stage::Opening } else { Stage::Open },
+            target_seq: accept.then_some(seg.seq),
+            caller_expects: seg.seq,
+            had_request: true,
+            ..Self::opening(now)
+        }
+    }
+
+    /// Returns whether the flow counts as a request: one is unanswered, or the first is about to
+    /// arrive.
+    pub(super) fn has_request(&self, now: Timestamp) -> bool {
+        let expected = !self.had_request && now.since(self.taken_at) < FIRST_REQUEST_WINDOW;
+        let running = self.request.is_some_and(|since| now.since(since) < REQUEST_LIFETIME);
+        match self.stage {
+            Stage::Opening => expected,
+            Stage::Open => running || expected,
+            Stage::Closed => false,
+        }
+    }
+}
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -28,7 +28,10 @@
             queued: count(load.requests - in_use),
             flows: load.flows,
             pace: self.gate.pace(now),
-            detail: LoadDetail::default(),
+            detail: LoadDetail {
+                flow_demand: Some(self.gate.flow_demand(now)),
+                ..LoadDetail::default()
+            },
         }
     }
 
@@ -63,6 +66,9 @@
         self.counters.requests.set(i64::from(report.in_use) + i64::from(report.queued));
         self.counters.waiting.set(i64::try_from(self.gate.waiting()).unwrap_or(i64::MAX));
         self.handle.metrics.flows.set(i64::from(report.flows));
+        let work = i64::try_from(report.pace.work.as_millis()).unwrap_or(i64::MAX);
+        self.counters.service_time.set(work);
+        self.counters.flow_demand.set(report.detail.flow_demand.map_or(0, i64::from));
         self.report_subscribers
             .retain(|_, subscriber| now.since(subscriber.last_new_flow) < SUBSCRIPTION_PERIOD);
         let due: Vec<SocketAddrV4> = self
--- a/crates/dillmill-flow/src/balancer_task/searching.rs
+++ b/crates/dillmill-flow/src/balancer_task/searching.rs
@@ -20,6 +20,7 @@
         now: Timestamp,
     ) {
         self.placement.count_bytes(service, u64::from(seg.len));
+        self.placement.note_packet(seg, now);
         let known = self.owners.get(&seg.flow, now);
         if let Some(owner) = known.filter(|owner| self.agents.at(owner.data).is_some()) {
             return self.send(seg, service, PacketPurpose::Deliver, buf, owner.data, now).await;
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -71,6 +71,10 @@
     pub requests: IntGauge,
     /// Opening packets that are queued for the target now.
     pub waiting: IntGauge,
+    /// Service time of the target, in milliseconds; 0 until it is known.
+    pub service_time: IntGauge,
+    /// Load that the open flows are expected to bring, in thousandths of a slot.
+    pub flow_demand: IntGauge,
     /// Time from the first bytes of a request to the first bytes of its answer, in seconds.
     pub answer_seconds: Histogram,
 }
@@ -101,6 +105,14 @@
             requests: metrics.gauge("dillmill_flow_requests", "Requests without an answer now")?,
             waiting: metrics
                 .gauge("dillmill_flow_waiting", "New flows that wait for the target now")?,
+            service_time: metrics.gauge(
+                "dillmill_flow_service_time_ms",
+                "Time of the target for a request that does not queue, in milliseconds",
+            )?,
+            flow_demand: metrics.gauge(
+                "dillmill_flow_demand",
+                "Load that open flows are expected to bring, in thousandths of a slot",
+            )?,
             answer_seconds: metrics.histogram(
                 "dillmill_flow_answer_seconds",
                 "First bytes of a request to first bytes of its answer",
