feat(core): targets are compared by time once one has no free slot

Cause: with the first version a slow target cost more even while all targets had free slots, so flows went otherwise than before without load.

Change: while each target of the service has a free slot, targets are compared as before. The recent deviation is measured against the usual one; windows are 64 and 256 answers, a change is a factor of 1.6.

--- a/crates/dillmill-core/src/flow/flow_placement.rs
+++ b/crates/dillmill-core/src/flow/flow_placement.rs
@@ -8,9 +8,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::target_cost::target_cost;
+use super::target_cost::{Comparison, is_full, target_cost};
 use crate::agent_table::{AgentEntry, AgentTable};
-use crate::flow_kinds::{FlowKind, FlowKinds};
+use crate::flow_kinds::FlowKinds;
 use crate::flow_volume::FlowVolume;
 use crate::placement::LoadReport;
 use crate::segment::Segment;
@@ -178,9 +178,16 @@
         except: Option<ProcessId>,
         now: Timestamp,
     ) -> Option<&'a AgentEntry> {
-        let kind = self.kinds.of(flow.route());
-        let cost = |a: &&AgentEntry| (self.cost(a, kind, now), flow.score(a.process.0));
         let open = || agents.taking_new(service).filter(|a| a.slots > 0);
+        let full = |a: &AgentEntry| {
+            self.loads.get(&a.process).is_some_and(|load| is_full(&load.report, load.sent))
+        };
+        let comparison = if open().any(full) {
+            Comparison::ByTime(self.kinds.of(flow.route()))
+        } else {
+            Comparison::BySlots
+        };
+        let cost = |a: &&AgentEntry| (self.cost(a, comparison, now), flow.score(a.process.0));
         let best = open()
             .filter(|a| Some(a.process) != except)
             .min_by_key(cost)
@@ -198,11 +205,11 @@
         self.typical_work.get(&service).copied().unwrap_or(INITIAL_SERVICE_TIME)
     }
 
-    fn cost(&self, agent: &AgentEntry, kind: FlowKind, now: Timestamp) -> i64 {
+    fn cost(&self, agent: &AgentEntry, comparison: Comparison, now: Timestamp) -> i64 {
         let far = if agent.near { 0 } else { self.far_penalty(agent.service) };
         let silent = if self.silent(agent.process, now) { SILENT_PENALTY } else { 0 };
         let Some(load) = self.loads.get(&agent.process) else { return i64::from(far) };
         let typical_work = self.typical_work_of(agent.service);
-        target_cost(&load.report, load.sent, kind, typical_work) + i64::from(far + silent)
+        target_cost(&load.report, load.sent, comparison, typical_work) + i64::from(far + silent)
     }
 }
--- a/crates/dillmill-core/src/flow/target_cost.rs
+++ b/crates/dillmill-core/src/flow/target_cost.rs
@@ -11,9 +11,11 @@
 /// Difference in speed, in thousandths of the typical time of the service, from which it counts: 1.25
 /// times the typical time, or a 1.25th of it. Estimates of equal targets mostly differ by less.
 const NOTABLE_SPEED: std::ops::Range<u64> = 800..1250;
+/// Time of a slow target, in thousandths of the typical time, while each target has a free slot.
+const SLOW: u64 = 2000;
 /// Share of a request's own longer time in its cost, in thousandths. Not all of it counts, because the
 /// longer time delays only the caller of the request, while a queue delays all callers behind it.
-const OWN_WORK_SHARE: i64 = 350;
+const OWN_WORK_SHARE: i64 = 250;
 
 /// Converts `span` to thousandths of `unit`.
 fn thousandths(span: Duration, unit: Duration) -> u64 {
@@ -21,6 +23,26 @@
     u64::try_from(n).unwrap_or(u64::MAX).min(u64::from(u32::MAX))
 }
 
+/// How a balancer compares the targets of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Comparison {
+    /// By slots in use, as each target has a free one. Only a target that takes twice the typical time
+    /// counts as slower.
+    BySlots,
+    /// By expected time, as some target has no free slot.
+    ByTime(FlowKind),
+}
+
+/// Returns whether a target to which `sent` flows have gone since its report has no free slot.
+pub(super) fn is_full(report: &LoadReport, sent: u32) -> bool {
+    report.slots.0 > 0 && requests(report, sent) >= u32::from(report.slots.0)
+}
+
+fn requests(report: &LoadReport, sent: u32) -> u32 {
+    let present = u32::from(report.in_use) + u32::from(report.queued);
+    present + report.detail.waiting_total() + sent
+}
+
 /// Returns the cost of a new flow at a target to which `sent` flows have gone since its report, in
 /// thousandths of `typical_work`, the typical time of a request.
 ///
@@ -28,32 +50,36 @@
 pub(super) fn target_cost(
     report: &LoadReport,
     sent: u32,
-    kind: FlowKind,
+    comparison: Comparison,
     typical_work: Duration,
 ) -> i64 {
     if let Some(cold) = report.pace.cold {
         let until_room = Duration::from_secs(1) * (cold.received + sent) / cold.limit.max(1);
         return thousandths(until_room, typical_work).cast_signed();
     }
-    let ahead = load_ahead(report, sent, kind).cast_signed();
+    let ahead = load_ahead(report, sent, comparison).cast_signed();
     let work = thousandths(report.pace.work, typical_work);
-    if report.pace.work.is_zero() || NOTABLE_SPEED.contains(&work) {
+    let (typical, own_share) = match comparison {
+        Comparison::BySlots => (0..SLOW, 1000),
+        Comparison::ByTime(_) => (NOTABLE_SPEED, OWN_WORK_SHARE),
+    };
+    if report.pace.work.is_zero() || typical.contains(&work) {
         return ahead;
     }
     let work = work.cast_signed();
-    (work - 1000) * OWN_WORK_SHARE / 1000 + work * ahead / 1000
+    (work - 1000) * own_share / 1000 + work * ahead / 1000
 }
 
 /// Returns the load ahead of a new flow, in thousandths of the slots.
-fn load_ahead(report: &LoadReport, sent: u32, kind: FlowKind) -> u64 {
-    let present = u32::from(report.in_use) + u32::from(report.queued);
-    let present = u64::from(present + report.detail.waiting_total()) * 1000;
-    let (present, flows) = match (report.detail.flow_demand, kind) {
-        (Some(demand), FlowKind::OneOff) => (present, u64::from(demand)),
+fn load_ahead(report: &LoadReport, sent: u32, comparison: Comparison) -> u64 {
+    let present = u64::from(requests(report, 0)) * 1000;
+    let idle_flows = u64::from(report.flows) * u64::from(IDLE_FLOW_LOAD);
+    let (present, flows) = match (comparison, report.detail.flow_demand.map(u64::from)) {
+        (Comparison::BySlots, _) | (_, None) => (present, idle_flows),
+        (Comparison::ByTime(FlowKind::OneOff), Some(demand)) => (present, demand),
         // A long-lived flow meets the present requests only once, and the other flows for as long as
         // it is open.
-        (Some(demand), FlowKind::LongLived) => (present / 2, u64::from(demand)),
-        (None, _) => (present, u64::from(report.flows) * u64::from(IDLE_FLOW_LOAD)),
+        (Comparison::ByTime(FlowKind::LongLived), Some(demand)) => (present / 2, demand),
     };
     (present + u64::from(sent) * 1000 + flows) / u64::from(report.slots.0.max(1))
 }
--- a/crates/dillmill-core/src/target/service_time.rs
+++ b/crates/dillmill-core/src/target/service_time.rs
@@ -9,7 +9,7 @@
 pub const OBSERVATION_CAP: f64 = 3.0;
 /// Answers after which a new observation has constant weight: the usual time of a route changes slowly,
 /// and the speed of its target is estimated apart.
-const WINDOW: u32 = 64;
+const WINDOW: u32 = 256;
 
 /// Usual time of the requests of one route at one target, at the target's usual speed.
 #[derive(Debug, Clone, Copy)]
--- a/crates/dillmill-core/src/target/target_speed.rs
+++ b/crates/dillmill-core/src/target/target_speed.rs
@@ -10,14 +10,16 @@
 /// Answers of a route before its usual time is known well enough to compare others with it, and answers
 /// of a target before its speed is reported.
 const MIN_ANSWERS: u32 = 8;
-/// Answers over which the speed is averaged while it does not change. Times of requests that vary by half
-/// their mean, with 3 % of requests at seven times, then move the estimate by about a tenth.
-const STEADY_WINDOW: f64 = 32.0;
+/// Answers over which the speed is averaged while it does not change.
+const STEADY_WINDOW: f64 = 64.0;
 /// Answers over which the deviation from the estimate is averaged, so that a change of speed shows within
 /// about ten answers.
 const RECENT_WINDOW: f64 = 8.0;
-/// Mean deviation, as a factor, from which the speed is taken to have changed. A smaller change is
-/// averaged in; the mean of unchanged answers rarely deviates by as much.
+/// Answers over which the usual deviation is averaged. It is below zero, as a logarithm weighs requests
+/// that take long less than the mean does.
+const BIAS_WINDOW: f64 = 256.0;
+/// Mean deviation, as a factor, from which the speed is taken to have changed: 3.4 standard deviations
+/// of the recent deviation where the logarithms of times vary by half. A smaller change is averaged in.
 const CHANGE_FACTOR: f64 = 1.6;
 /// Maximum number of routes with a service time of their own.
 const MAX_ROUTES: usize = 256;
@@ -41,6 +43,10 @@
     window: f64,
     /// Natural logarithm of the mean deviation of the last answers from the estimate.
     deviation: f64,
+    /// The same over many answers.
+    bias: f64,
+    /// Answers over which `bias` is averaged now.
+    bias_window: f64,
     answers: u32,
     /// Mean of the routes' usual times by their shares in the answers, in seconds.
     mix: f64,
@@ -53,6 +59,8 @@
             ratio: 1.0,
             window: STEADY_WINDOW,
             deviation: 0.0,
+            bias: 0.0,
+            bias_window: 1.0,
             answers: 0,
             mix: INITIAL_SERVICE_TIME.as_secs_f64(),
         }
@@ -81,10 +89,14 @@
 
     fn note_ratio(&mut self, observed: f64) {
         let observed = observed.min(self.ratio * OBSERVATION_CAP).max(self.ratio / 100.0);
-        self.deviation += ((observed / self.ratio).ln() - self.deviation) / RECENT_WINDOW;
-        if self.deviation.abs() >= CHANGE_FACTOR.ln() {
-            self.ratio *= self.deviation.exp();
-            self.deviation = 0.0;
+        let deviation = (observed / self.ratio).ln();
+        self.bias += (deviation - self.bias) / self.bias_window;
+        self.bias_window = (self.bias_window + 1.0).min(BIAS_WINDOW);
+        self.deviation += (deviation - self.deviation) / RECENT_WINDOW;
+        let change = self.deviation - self.bias;
+        if change.abs() >= CHANGE_FACTOR.ln() {
+            self.ratio *= change.exp();
+            self.deviation = self.bias;
             self.window = RECENT_WINDOW;
         }
         self.ratio += (observed - self.ratio) / self.window;
