--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -28,7 +28,10 @@
             queued: count(load.requests - in_use),
             flows: load.flows,
             pace: self.gate.pace(now),
-            detail: LoadDetail { waiting: self.gate.waiting_by_class(), ..LoadDetail::default() },
+            detail: LoadDetail {
+                waiting: self.gate.waiting_by_class(),
+                flow_demand: Some(self.gate.flow_demand(now)),
+            },
         }
     }
 
@@ -69,6 +72,9 @@
             counter.inc_by(taken.saturating_sub(counter.get()));
         }
         self.handle.metrics.flows.set(i64::from(report.flows));
+        let work = i64::try_from(report.pace.work.as_millis()).unwrap_or(i64::MAX);
+        self.counters.service_time.set(work);
+        self.counters.flow_demand.set(report.detail.flow_demand.map_or(0, i64::from));
         self.report_subscribers
             .retain(|_, subscriber| now.since(subscriber.last_new_flow) < SUBSCRIPTION_PERIOD);
         let due: Vec<SocketAddrV4> = self
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -80,6 +80,10 @@
     pub waiting_by_class: Vec<IntGauge>,
     /// Packets that left the queue for the target, for each of [`TakeReason::ALL`].
     pub taken: Vec<IntCounter>,
+    /// Service time of the target, in milliseconds; 0 until it is known.
+    pub service_time: IntGauge,
+    /// Load that the open flows are expected to bring, in thousandths of a slot.
+    pub flow_demand: IntGauge,
     /// Time from the first bytes of a request to the first bytes of its answer, in seconds.
     pub answer_seconds: Histogram,
 }
@@ -122,6 +126,14 @@
                 "reason",
                 &TakeReason::ALL.map(TakeReason::label),
             )?,
+            service_time: metrics.gauge(
+                "dillmill_flow_service_time_ms",
+                "Time of the target for a request that does not queue, in milliseconds",
+            )?,
+            flow_demand: metrics.gauge(
+                "dillmill_flow_demand",
+                "Load that open flows are expected to bring, in thousandths of a slot",
+            )?,
             answer_seconds: metrics.histogram(
                 "dillmill_flow_answer_seconds",
                 "First bytes of a request to first bytes of its answer",
