--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -24,9 +24,9 @@
 //!
 //! While packets of 2 wait, last chances get only a share of the turns. Under a lasting overload
 //! every surplus request comes to its last chance, and would take the turn of one that can be in
-//! time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the first of
-//! all. Priority applies only within each class: late packets ahead of others that can be in time
-//! would make those late as well.
+//! time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the
+//! first of all. Priority applies only within each class: late packets ahead of others that can be
+//! in time would make those late as well.
 //!
 //! A queue that always served the oldest packet would never recover once its delay had reached
 //! the callers' attempt timeout: all its work would go to callers that had just given up, and
