--- a/crates/dillmill-core/tests/target_capacity.rs
+++ b/crates/dillmill-core/tests/target_capacity.rs
@@ -48,10 +48,10 @@
 }
 
 /// Returns the largest number of requests at once at each target in the 5 s after the first one returns
-/// from `speed` to the speed of the others.
-fn peaks(seed: u32, rule: Rule, speed: f64) -> Vec<usize> {
+/// from the speed `before` to the speed of the others.
+fn peaks(seed: u32, rule: Rule, before: f64) -> Vec<usize> {
     let mut fleet = Fleet::new(u64::from(seed), rule, [1.0, 1.0]);
-    fleet.targets[0].speed = speed;
+    fleet.targets[0].speed = before;
     let (one_off, long) = rates(0.7, [1.0, 1.0]);
     fleet.run(0, 15_000, one_off, long);
     fleet.targets[0].speed = 1.0;
