--- a/crates/dillmill-core/src/flow/envelope.rs
+++ b/crates/dillmill-core/src/flow/envelope.rs
@@ -25,6 +25,26 @@
         /// Number of times that the packet has been directed so far.
         times: u8,
     },
+    /// The packet opens a flow and has waited at another agent, which has moved it to this one as it
+    /// is served sooner here.
+    Moved {
+        /// Agents that have moved the packet; the last one is the sender.
+        passed: Vec<ProcessId>,
+        /// Time since the start of the caller's attempt, in milliseconds.
+        waited_ms: u32,
+    },
+}
+
+impl PacketPurpose {
+    /// Returns the agents that have passed on or moved an opening packet; `None` for a packet of an
+    /// open flow.
+    #[must_use]
+    pub fn passed(&self) -> Option<&[ProcessId]> {
+        match self {
+            Self::Place { passed } | Self::Moved { passed, .. } => Some(passed),
+            Self::Deliver | Self::Search(_) | Self::Directed { .. } => None,
+        }
+    }
 }
 
 /// State of the search for the owner of a flow.
--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `opening` | whether a new flow is given to the target, waits, goes on to another agent or is refused |
 //! | `waiting` | which waiting packet is next |
+//! | `sharing` | which packets of an overloaded agent go to its siblings |
 //! | `finding` | where the owner of an open flow is looked for, and when no agent holds it |
 //! | `target` | whether there is a target, what it can take, and which run of it sends heartbeats |
 
@@ -32,6 +33,7 @@
 mod lookup;
 mod opening;
 mod run_change;
+mod sharing;
 mod target;
 mod verdict;
 mod waiting;
@@ -159,16 +161,16 @@
         now: Timestamp,
     ) -> Verdict {
         let arrival = Arrival { seg, env, context, now };
-        match (&env.purpose, seg.kind) {
-            (PacketPurpose::Place { passed }, SegmentKind::Open { copies }) => {
-                if self.opens.note_copy(&seg.flow, copies) {
-                    return Verdict::Drop;
-                }
-                self.place(arrival, copies, passed)
+        match (env.purpose.passed(), seg.kind) {
+            (Some(_), SegmentKind::Open { copies }) if self.opens.note_copy(&seg.flow, copies) => {
+                Verdict::Drop
             }
-            (PacketPurpose::Place { .. }, _)
-            | (_, SegmentKind::Open { .. } | SegmentKind::Accept) => Verdict::Drop,
-            (purpose, _) => self.find(arrival, purpose.into()),
+            (Some(passed), SegmentKind::Open { copies }) => match env.purpose {
+                PacketPurpose::Moved { .. } => self.place_moved(arrival, copies, passed),
+                _ => self.place(arrival, copies, passed),
+            },
+            (Some(_), _) | (None, SegmentKind::Open { .. } | SegmentKind::Accept) => Verdict::Drop,
+            (None, _) => self.find(arrival, (&env.purpose).into()),
         }
     }
 
--- a/crates/dillmill-core/src/flow/flow_gate/context.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/context.rs
@@ -1,5 +1,6 @@
 //! State of the process, outside the gate, that decisions on packets use.
 
+use crate::SiblingLoads;
 use crate::agent_table::AgentTable;
 use crate::route_table::RouteTable;
 
@@ -15,4 +16,6 @@
     pub settled: bool,
     /// All other agents have told this agent of the flows that it records as their directory.
     pub told: bool,
+    /// Loads that the siblings of this agent have reported.
+    pub siblings: &'a SiblingLoads,
 }
--- a/crates/dillmill-core/src/flow/flow_gate/finding.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/finding.rs
@@ -131,8 +131,16 @@
     pub(super) fn after_trial(&mut self, arrival: Arrival<'_>) -> Verdict {
         let Arrival { seg, env, .. } = arrival;
         match (&env.purpose, seg.kind) {
-            (PacketPurpose::Place { passed, .. }, SegmentKind::Open { .. }) => {
+            (
+                purpose @ (PacketPurpose::Place { .. } | PacketPurpose::Moved { .. }),
+                SegmentKind::Open { .. },
+            ) => {
                 let reason = PassReason::Returned;
+                let passed = match purpose {
+                    PacketPurpose::Place { passed } => &passed[..],
+                    // The balancer was told that the packet was moved to this agent.
+                    _ => &[],
+                };
                 let refused = self.refuse(RefuseReason::NoTarget, env, passed);
                 if passed.len() > MAX_PLACE_HOPS {
                     return refused;
--- a/crates/dillmill-core/src/flow/flow_gate/lookup.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/lookup.rs
@@ -33,7 +33,9 @@
 impl From<&PacketPurpose> for Lookup {
     fn from(purpose: &PacketPurpose) -> Self {
         let (search, redirects) = match *purpose {
-            PacketPurpose::Place { .. } | PacketPurpose::Deliver => (Search::default(), 0),
+            PacketPurpose::Place { .. } | PacketPurpose::Moved { .. } | PacketPurpose::Deliver => {
+                (Search::default(), 0)
+            }
             PacketPurpose::Search(search) => (search, 0),
             PacketPurpose::Directed { search, times } => (search, times),
         };
--- a/crates/dillmill-core/src/flow/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/opening.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use super::sharing::load_sharing;
 use super::{Arrival, FlowGate, PassReason, RefuseReason, Verdict};
 use crate::agent_table::AgentEntry;
 use crate::envelope::{Envelope, PacketPurpose};
@@ -10,7 +11,7 @@
 use crate::open_queue::{WaitTerms, wait_limit};
 use crate::route_table::RouteTable;
 use crate::segment::Segment;
-use crate::{ProcessId, ServiceTag, Timestamp, attempt_timeout};
+use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp, attempt_timeout};
 
 /// Number of agents that may pass an opening packet on; the next one must decide.
 pub(super) const MAX_PLACE_HOPS: usize = 3;
@@ -47,9 +48,14 @@
             // Traffic between data centres costs, so a request that can wait here within the
             // latency objective is not sent to another data centre.
             let hops = if cold { MAX_COLD_HOPS } else { MAX_PLACE_HOPS };
-            if passed.len() < hops
-                && let Some(verdict) = self.pass_on(arrival, env.service, passed, reason)
-            {
+            let onward = if !cold && load_sharing(arrival) {
+                self.pass_by_load(arrival, passed, reason)
+            } else if passed.len() < hops {
+                self.pass_on(arrival, env.service, passed, reason)
+            } else {
+                None
+            };
+            if let Some(verdict) = onward {
                 return verdict;
             }
             if wait {
@@ -70,7 +76,7 @@
 
     /// Decides on an opening packet that the target can't take, whatever its load: the route or
     /// service does not match, or the target takes no new flows or fails.
-    fn redirect_or_refuse(
+    pub(super) fn redirect_or_refuse(
         &mut self,
         arrival: Arrival<'_>,
         passed: &[ProcessId],
@@ -98,7 +104,7 @@
     }
 
     /// Delivers an opening packet to the target.
-    fn deliver_open(
+    pub(super) fn deliver_open(
         &mut self,
         seg: &Segment,
         env: &Envelope,
@@ -157,7 +163,7 @@
         passed: &[ProcessId],
         reason: PassReason,
     ) -> Option<Verdict> {
-        let Arrival { seg, env, context, now } = arrival;
+        let Arrival { seg, context, .. } = arrival;
         let fresh =
             |a: &&AgentEntry| a.process != self.me && !passed.contains(&a.process) && a.slots > 0;
         // Mostly all targets of a data centre turn cold together, so agents in the same data centre
@@ -167,25 +173,37 @@
         let reached = |a: &&AgentEntry| a.near || reason != PassReason::Full;
         let open = context.agents.taking_new(service).filter(fresh);
         let next = open.filter(reached).max_by_key(rank)?;
-        let record = FlowRecord {
-            flow: seg.flow,
-            target_seq: None,
-            open: false,
-            owner: next.process,
-            data: next.data,
-        };
-        self.directory.register(record, now);
-        let mut passed = passed.to_vec();
-        passed.push(self.me);
+        Some(self.pass_to(next, arrival, service, passed, reason))
+    }
+
+    /// Passes an opening packet to the agent `next`.
+    pub(super) fn pass_to(
+        &mut self,
+        next: &AgentEntry,
+        arrival: Arrival<'_>,
+        service: ServiceTag,
+        passed: &[ProcessId],
+        reason: PassReason,
+    ) -> Verdict {
+        let Arrival { seg, env, now, .. } = arrival;
+        self.record_passed(seg.flow, next, now);
+        let passed = [passed, &[self.me]].concat();
         let envelope =
             Envelope { service, purpose: PacketPurpose::Place { passed }, ..env.clone() };
-        Some(Verdict::Pass { to: next.data, envelope, reason })
+        Verdict::Pass { to: next.data, envelope, reason }
+    }
+
+    /// Records to which agent an opening packet goes.
+    pub(super) fn record_passed(&mut self, flow: FlowTuple, next: &AgentEntry, now: Timestamp) {
+        let (owner, data) = (next.process, next.data);
+        let record = FlowRecord { flow, target_seq: None, open: false, owner, data };
+        self.directory.register(record, now);
     }
 }
 
 /// Returns the balancer that must be told where a flow is. A balancer knows only the agent that it
 /// chose itself.
-fn balancer_to_notify(env: &Envelope, passed: &[ProcessId]) -> Option<SocketAddrV4> {
+pub(super) fn balancer_to_notify(env: &Envelope, passed: &[ProcessId]) -> Option<SocketAddrV4> {
     (!passed.is_empty()).then_some(env.origin)
 }
 
--- /dev/null
+++ b/crates/dillmill-core/src/flow/flow_gate/sharing.rs
@@ -0,0 +1,146 @@
+//! Sends opening packets of an overloaded agent to siblings that serve them sooner.
+
+use std::time::Duration;
+
+use super::opening::balancer_to_notify;
+use super::{Arrival, FlowGate, GateContext, PassReason, Verdict};
+use crate::envelope::{Envelope, PacketPurpose};
+use crate::open_queue::WaitingOpen;
+use crate::rebalancing::{MAX_SHARED_HOPS, better_siblings};
+use crate::{AgentLoad, ProcessId, Timestamp};
+
+/// Number of agents that may pass a packet on without load information.
+const MAX_BLIND_HOPS: usize = 1;
+
+impl FlowGate {
+    /// Returns the load that determines how long one more request waits here.
+    #[must_use]
+    pub fn agent_load(&self, now: Timestamp) -> AgentLoad {
+        let waiting = u32::try_from(self.waiting()).unwrap_or(u32::MAX);
+        AgentLoad {
+            requests: self.load(now).requests.saturating_add(waiting),
+            slots: u32::from(self.slots),
+            work: self.flows.work(),
+        }
+    }
+
+    /// Returns whether the agent's siblings might serve new flows sooner: the target is full, or packets
+    /// wait for it.
+    #[must_use]
+    pub fn under_pressure(&self, now: Timestamp) -> bool {
+        self.takes_new(now)
+            && (self.waiting() > 0 || self.load(now).requests >= u32::from(self.slots))
+    }
+
+    /// Passes a new opening packet to the sibling with the shortest wait, if it is clearly shorter than
+    /// here. As long as the load of no sibling is known, any sibling gets the packet, once.
+    pub(super) fn pass_by_load(
+        &mut self,
+        arrival: Arrival<'_>,
+        passed: &[ProcessId],
+        reason: PassReason,
+    ) -> Option<Verdict> {
+        let Arrival { context, now, .. } = arrival;
+        if !context.siblings.any_known(now) {
+            let blind = passed.len() < MAX_BLIND_HOPS;
+            return if blind { self.pass_on(arrival, self.service, passed, reason) } else { None };
+        }
+        if passed.len() >= MAX_SHARED_HOPS {
+            return None;
+        }
+        let own = self.agent_load(now);
+        let wait = own.wait_of_next();
+        let better =
+            better_siblings(&own, wait, self.service, context.agents, context.siblings, now);
+        let next = better.into_iter().find(|a| !passed.contains(&a.process))?;
+        Some(self.pass_to(next, arrival, self.service, passed, reason))
+    }
+
+    /// Decides on an opening packet that has waited at other agents, by its true age. It is given to the
+    /// target or waits here; if it waits, it may be moved again.
+    pub(super) fn place_moved(
+        &mut self,
+        arrival: Arrival<'_>,
+        copies: u32,
+        passed: &[ProcessId],
+    ) -> Verdict {
+        let Arrival { seg, env, now, .. } = arrival;
+        // The balancer knows the agent that has moved the packet here, but not the agents before it.
+        let holder = &passed[passed.len().saturating_sub(1)..];
+        if let Some(verdict) = self.redirect_or_refuse(arrival, holder) {
+            return verdict;
+        }
+        let terms = self.wait_terms(arrival, copies);
+        let terms = terms.waited(age(env), now);
+        let requests = self.load(now).requests;
+        let full = requests >= u32::from(self.slots);
+        let in_time = terms.in_time(self.work_of(requests + 1), now);
+        if self.opens.any_urgent(now) || !self.cold.room(now) || (full && !in_time) {
+            let tell = balancer_to_notify(env, holder);
+            return Verdict::Wait { terms, envelope: env.clone(), tell };
+        }
+        self.deliver_open(seg, env, copies, holder, now)
+    }
+
+    /// Removes the next waiting packet that a sibling serves clearly sooner, and returns it with the
+    /// verdict that moves it there. The packet must be added to the sibling's load before the next call.
+    pub fn next_moved(
+        &mut self,
+        context: GateContext<'_>,
+        now: Timestamp,
+    ) -> Option<(WaitingOpen, Verdict)> {
+        if self.opens.is_empty() || !self.takes_new(now) {
+            return None;
+        }
+        let own = self.agent_load(now);
+        let wait = own.wait_of_last();
+        let better =
+            better_siblings(&own, wait, self.service, context.agents, context.siblings, now);
+        for next in better {
+            let load = context.siblings.get(next.process, now)?.load();
+            let ahead = load.wait_of_next() + load.work;
+            let movable = |open: &WaitingOpen| {
+                let moved = movers(&open.envelope);
+                moved.len() < MAX_SHARED_HOPS
+                    && !moved.contains(&next.process)
+                    && shares(context, open)
+            };
+            let Some(open) = self.opens.take_movable(ahead, now, movable) else { continue };
+            self.record_passed(open.flow, next, now);
+            let passed = [movers(&open.envelope), &[self.me]].concat();
+            let waited = now.since(open.terms.since).as_millis();
+            let waited_ms = u32::try_from(waited).unwrap_or(u32::MAX);
+            let purpose = PacketPurpose::Moved { passed, waited_ms };
+            let envelope = Envelope { purpose, ..open.envelope.clone() };
+            let verdict = Verdict::Pass { to: next.data, envelope, reason: PassReason::Moved };
+            return Some((open, verdict));
+        }
+        None
+    }
+}
+
+/// Returns whether load sharing is on for the route of a packet.
+pub(super) fn load_sharing(arrival: Arrival<'_>) -> bool {
+    let route = arrival.context.routes.get(arrival.seg.flow.route());
+    route.is_none_or(|route| route.overload.load_sharing)
+}
+
+fn shares(context: GateContext<'_>, open: &WaitingOpen) -> bool {
+    context.routes.get(open.flow.route()).is_none_or(|route| route.overload.load_sharing)
+}
+
+/// Returns the agents that have moved a waiting packet.
+fn movers(envelope: &Envelope) -> &[ProcessId] {
+    match &envelope.purpose {
+        PacketPurpose::Moved { passed, .. } => passed,
+        _ => &[],
+    }
+}
+
+/// Returns the time that a moved packet had waited when it was sent.
+fn age(envelope: &Envelope) -> Duration {
+    match envelope.purpose {
+        PacketPurpose::Moved { waited_ms, .. } => Duration::from_millis(u64::from(waited_ms)),
+        _ => Duration::ZERO,
+    }
+}
--- a/crates/dillmill-core/src/flow/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/verdict.rs
@@ -47,6 +47,8 @@
     Full,
     /// The target has more work than it can do in time; any other target may have less.
     Crowded,
+    /// The packet has waited here, and a sibling serves it sooner.
+    Moved,
     /// The target returned the packet.
     Returned,
     /// A directory record names the owner.
--- a/crates/dillmill-core/src/flow/route_table.rs
+++ b/crates/dillmill-core/src/flow/route_table.rs
@@ -114,6 +114,13 @@
         self.services.contains(&service) || self.routes.iter().any(of_route)
     }
 
+    /// Returns whether any route of `service` has load sharing on, or no route of the service is known.
+    #[must_use]
+    pub fn shares_load(&self, service: ServiceTag) -> bool {
+        let mut routes = self.routes.iter().filter(|(_, entry)| entry.allows(service)).peekable();
+        routes.peek().is_none() || routes.any(|(_, entry)| entry.overload.load_sharing)
+    }
+
     /// Returns the requests per second that a newly started target of `service` can handle, if specified.
     #[must_use]
     pub fn cold_rate(&self, service: ServiceTag) -> Option<u32> {
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -26,6 +26,8 @@
 //! | [`directory_catch_up`] | whether an agent's flow directory is complete |
 //! | [`registrations`] | when a flow is registered with a directory, and registered again |
 //! | [`retry_budget`] | whether a request may be retried |
+//! | [`exchange_rounds`] | when, and with which siblings, an overloaded agent exchanges its load |
+//! | [`rebalancing`] | which siblings serve an overloaded agent's opening packets sooner |
 //! | [`cold_start`] | how many requests a target that has just started receives |
 //! | [`warm_up`] | how many slots a target that has just started gets |
 //! | [`watcher_selection`] | which processes hold a watch at the platform |
@@ -62,14 +64,15 @@
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
-    attempt_timeout, cold_start, open_queue, overload_policy, placement, priority, retry_budget,
-    scheduler, warm_up,
+    agent_load, attempt_timeout, cold_start, exchange_rounds, open_queue, overload_policy,
+    placement, priority, rebalancing, retry_budget, scheduler, sibling_loads, warm_up,
 };
 pub use membership::member;
 pub use target::{
     answer_norms, caller_packets, outcomes, target_flows, target_pace, target_run, target_runs,
 };
 
+pub use agent_load::AgentLoad;
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
 pub use cold_start::ColdStart;
@@ -78,6 +81,7 @@
 pub use envelope::{Envelope, PacketPurpose, Search, SearchPlace, SearchScope};
 pub use evacuations::{EvacuationChange, Evacuations};
 pub use event::{Event, EventKind, EventLog};
+pub use exchange_rounds::{ExchangePeer, ExchangeRounds};
 pub use flow_directory::{FlowDirectory, FlowRecord};
 pub use flow_gate::FlowGate;
 pub use flow_id::{FlowId, FlowIdError, FlowKey, FlowKeys};
@@ -103,6 +107,7 @@
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
 pub use service_tag::ServiceTag;
+pub use sibling_loads::{SiblingLoad, SiblingLoads};
 pub use start_delay::StartDelay;
 pub use target_pace::{ColdLoad, TargetPace};
 pub use target_run::{StartTime, TargetRun};
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -11,13 +11,21 @@
 //! | [`scheduler`] | order of requests on a target's slots, by fair shares of groups and deadlines |
 //! | [`placement`] | agent that runs a request, by load reports of siblings |
 //! | [`retry_budget`] | whether a request may be retried |
+//! | [`agent_load`] | how long one more request waits at an agent |
+//! | [`sibling_loads`] | latest loads of the other agents of a service |
+//! | [`exchange_rounds`] | when, and with which siblings, an agent exchanges its load |
+//! | [`rebalancing`] | siblings that serve an overloaded agent's opening packets sooner |
 
+pub mod agent_load;
 pub mod attempt_timeout;
 pub mod cold_start;
+pub mod exchange_rounds;
 pub mod open_queue;
 pub mod overload_policy;
 pub mod placement;
 pub mod priority;
+pub mod rebalancing;
 pub mod retry_budget;
 pub mod scheduler;
+pub mod sibling_loads;
 pub mod warm_up;
--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -18,6 +18,7 @@
 //! each of them would be back with another attempt. Under a load that stays at the targets'
 //! capacity it would also make every answer late in order to save a few.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -109,6 +110,16 @@
         }
     }
 
+    /// Sets how long the packet has waited at other agents. They have received the retransmissions that
+    /// were due in that time, or would not have moved the packet.
+    #[must_use]
+    pub fn waited(mut self, waited: Duration, now: Timestamp) -> Self {
+        self.since = now - waited;
+        let due = RETRANSMIT_TIMES[1..].iter().filter(|due| waited >= **due).count();
+        self.copies = self.copies.max(u32::try_from(due).unwrap_or(u32::MAX));
+        self
+    }
+
     /// Sets the attempt timeout assumed for callers of the route.
     #[must_use]
     pub fn attempt_timeout(mut self, attempt_timeout: Duration) -> Self {
@@ -299,6 +310,33 @@
         self.waiting.extract_if(.., lost).collect()
     }
 
+    /// Removes and returns the next opening packet to be served elsewhere, where it is `ahead` of being
+    /// answered: the most urgent of those that are `movable`, in the order of [`OpenQueue::take`]. A
+    /// packet whose caller has probably given up is not worth moving.
+    pub fn take_movable(
+        &mut self,
+        ahead: Duration,
+        now: Timestamp,
+        movable: impl Fn(&WaitingOpen) -> bool,
+    ) -> Option<WaitingOpen> {
+        let rank = |open: &WaitingOpen| {
+            let since = open.terms.since;
+            match self.wait_state(open, now) {
+                WaitState::Urgent => Some((2, Some(Reverse(since)), None)),
+                WaitState::Pending if open.terms.in_time(ahead, now) => {
+                    Some((1, None, Some(since)))
+                }
+                WaitState::Pending => Some((0, Some(Reverse(since)), None)),
+                WaitState::Abandoned => None,
+            }
+        };
+        let all = self.waiting.iter().enumerate();
+        let opens = all.filter(|(_, open)| !open.terms.open_flow && movable(open));
+        let ranked = opens.filter_map(|(i, open)| Some((rank(open)?, i)));
+        let (_, i) = ranked.max()?;
+        Some(self.waiting.swap_remove(i))
+    }
+
     /// Returns any one of the queued packets.
     #[must_use]
     pub fn first(&self) -> Option<&WaitingOpen> {
--- /dev/null
+++ b/crates/dillmill-core/src/load/rebalancing.rs
@@ -0,0 +1,50 @@
+//! Chooses the siblings that serve an overloaded agent's opening packets sooner.
+//!
+//! It responds to a queue that is long at one agent while a sibling has free capacity. A packet goes to
+//! a sibling only if it waits there for less time than here by a margin. Each packet sent counts towards
+//! the sibling's load at once, so an agent stops sending as soon as half of the difference is balanced,
+//! and two agents cannot swap their load.
+
+use std::time::Duration;
+
+use crate::{AgentEntry, AgentLoad, AgentTable, ServiceTag, SiblingLoad, SiblingLoads, Timestamp};
+
+/// Maximum number of times that a packet is moved, and that it is passed on by load. A second step makes
+/// up for a report that was out of date; more would cost callers more than they gain.
+pub const MAX_SHARED_HOPS: usize = 2;
+/// Minimum advantage of a sibling: the transit between two agents and the pauses of a process take some
+/// milliseconds.
+const MIN_MARGIN: Duration = Duration::from_millis(5);
+
+/// Returns by how much a sibling's wait must be shorter than that of an agent with load `own`.
+///
+/// Traffic between data centres costs, so a far sibling must save the time of a whole request besides.
+fn margin(own: &AgentLoad, near: bool) -> Duration {
+    let near_margin = own.time_per_request().max(MIN_MARGIN);
+    if near { near_margin } else { near_margin + own.work }
+}
+
+/// Returns the siblings of `service` at which one more request waits less than `wait` by the margin of an
+/// agent with load `own`: the best one first.
+#[must_use]
+pub fn better_siblings<'a>(
+    own: &AgentLoad,
+    wait: Duration,
+    service: ServiceTag,
+    agents: &'a AgentTable,
+    siblings: &SiblingLoads,
+    now: Timestamp,
+) -> Vec<&'a AgentEntry> {
+    let candidate = |known: &SiblingLoad| {
+        let agent = agents.get(known.process())?;
+        let open = agent.service == service && !agent.evacuated && known.takes_more();
+        let (load, margin) = (known.load(), margin(own, agent.near));
+        let cost = load.wait_of_next() + margin;
+        // Of several siblings with free slots, the one with the smallest share of busy slots is best.
+        let busy = load.requests.saturating_mul(1000) / load.slots.max(1);
+        (open && cost <= wait).then_some(((cost, busy), agent))
+    };
+    let mut better: Vec<_> = siblings.current(now).filter_map(candidate).collect();
+    better.sort_by_key(|(cost, _)| *cost);
+    better.into_iter().map(|(_, agent)| agent).collect()
+}
--- a/crates/dillmill-core/tests/cold_starts.rs
+++ b/crates/dillmill-core/tests/cold_starts.rs
@@ -11,7 +11,7 @@
 use dillmill_core::{
     AgentTable, ColdLoad, ColdStart, Envelope, FlowGate, FlowPlacement, FlowTuple, Member,
     PacketPurpose, ProcessId, Revision, Role, RouteEntry, RouteTable, Segment, SegmentKind,
-    ServiceTag, TargetPace, Timestamp, Weight,
+    ServiceTag, SiblingLoads, TargetPace, Timestamp, Weight,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -143,7 +143,13 @@
 fn passed_on_to_any_data_centre() {
     let agents = table(&[member(1, "near"), member(2, "far")]);
     let routes = routes();
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = cold_gate(routes.cold_rate(orders()));
     for port in 0..10 {
         let verdict = gate.arrived(
@@ -169,7 +175,13 @@
 fn requests_of_open_flows_wait() {
     let agents = table(&[member(1, "near")]);
     let routes = routes();
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = cold_gate(None);
     for port in 0..40 {
         gate.arrived(&segment(port, SegmentKind::Open { copies: 0 }, 0), &place(), context, START);
@@ -349,7 +361,13 @@
 fn simulate(rate: Option<u32>) -> (usize, usize, u32) {
     let agents = table(&[member(1, "near")]);
     let routes = routes();
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = cold_gate(rate);
     let mut target = Target::new(10);
     // For each request, when it was made and whether it was answered in time; `attempts` holds the
--- a/crates/dillmill-core/tests/evacuations.rs
+++ b/crates/dillmill-core/tests/evacuations.rs
@@ -11,7 +11,7 @@
 use dillmill_core::{
     AgentTable, Envelope, EvacuationChange, Evacuations, FlowGate, FlowPlacement, FlowTuple,
     Member, MemberStatus, PacketPurpose, ProcessId, Revision, Role, RouteTable, Segment,
-    SegmentKind, ServiceTag, Timestamp, Weight, ZoneName,
+    SegmentKind, ServiceTag, SiblingLoads, Timestamp, Weight, ZoneName,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -165,7 +165,8 @@
     let mut gate = FlowGate::new(ProcessId(1), data(1), orders(), NOW);
     gate.new_target(orders(), Predecessor::Unsure, NOW);
     gate.set_standing(TargetStanding::Ready, 4);
-    let context = GateContext { agents, routes, settled: true, told: true };
+    let context =
+        GateContext { agents, routes, settled: true, told: true, siblings: &SiblingLoads::new() };
     let verdict = gate.arrived(&open(1, 0), &place(), context, NOW);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
     gate.answered(&segment(1, SegmentKind::Accept), NOW);
@@ -176,7 +177,13 @@
 #[test]
 fn evacuated_agent_passes_on() {
     let (agents, routes) = (table(&["a"]), RouteTable::default());
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = evacuated_gate(&agents, &routes);
     for (port, copies) in [(2, 0), (3, 1), (4, 2), (1, 1)] {
         let verdict = gate.arrived(&open(port, copies), &place(), context, NOW);
@@ -189,7 +196,13 @@
 #[test]
 fn waiting_packet_passed_on() {
     let (agents, routes) = (table(&["a"]), RouteTable::default());
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = evacuated_gate(&agents, &routes);
     let terms = WaitTerms::new(0, Duration::from_millis(150), NOW);
     let waits = WaitingOpen { flow: flow(2), packet: vec![0], envelope: place(), terms };
@@ -202,7 +215,13 @@
 #[test]
 fn open_flow_stays() {
     let (agents, routes) = (table(&["a"]), RouteTable::default());
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = evacuated_gate(&agents, &routes);
     let request = Segment { len: 100, ..segment(1, SegmentKind::Data) };
     let verdict = gate.arrived(&request, &envelope(PacketPurpose::Deliver), context, NOW);
@@ -212,7 +231,13 @@
 #[test]
 fn no_target_left_refuses() {
     let (agents, routes) = (table(&["a", "b", "c"]), RouteTable::default());
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = evacuated_gate(&agents, &routes);
     let verdict = gate.arrived(&open(2, 0), &place(), context, NOW);
     let refused = matches!(verdict, Verdict::Refuse { reason: RefuseReason::NoTarget, .. });
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -12,7 +12,7 @@
 use dillmill_core::{
     AgentTable, Envelope, FlowGate, FlowTuple, Member, MemberStatus, PacketPurpose, ProcessId,
     Revision, Role, RouteEntry, RouteTable, Search, SearchPlace, SearchScope, Segment, SegmentKind,
-    ServiceTag, Timestamp, Weight,
+    ServiceTag, SiblingLoads, Timestamp, Weight,
 };
 use rstest::rstest;
 
@@ -126,7 +126,13 @@
 #[test]
 fn new_flow_delivered_and_found() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     let verdict = arrived(&mut gate, &request(1), &envelope(PacketPurpose::Deliver), context);
@@ -141,7 +147,13 @@
 #[case::gone(TargetStanding::Gone)]
 fn leaving_target_gets_no_flows(#[case] standing: TargetStanding) {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     gate.set_standing(standing, 5);
@@ -161,7 +173,13 @@
 fn last_leaving_target_refuses() {
     let agents = agents(&[member(1, "orders", MemberStatus::Leaving)]);
     let routes = routes(1, "orders");
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     gate.set_standing(TargetStanding::Leaving, 5);
     let verdict = arrived(&mut gate, &open(1), &place(), context);
@@ -172,7 +190,13 @@
 #[test]
 fn full_target_passes_then_queues() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     for port in 1..=5 {
         open_flow(&mut gate, port, context);
@@ -203,7 +227,13 @@
 fn new_flows_queue_behind_urgent() {
     let agents = agents(&[member(1, "orders", MemberStatus::Serving)]);
     let routes = routes(1, "orders");
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let terms = WaitTerms::new(2, Duration::from_millis(150), NOW);
     gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms });
@@ -221,7 +251,13 @@
 #[test]
 fn waiting_copy_dropped() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let terms = WaitTerms::new(0, Duration::from_millis(150), NOW);
     gate.wait(WaitingOpen { flow: flow(1), packet: vec![0], envelope: place(), terms });
@@ -237,7 +273,13 @@
     let members =
         [member(1, "orders", MemberStatus::Serving), member(2, "labels", MemberStatus::Serving)];
     let (agents, routes) = (agents(&members), routes(2, "labels"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let verdict = arrived(&mut gate(), &open(1), &place(), context);
     let Verdict::Pass { to, envelope, reason } = verdict else { panic!("{verdict:?}") };
     assert_eq!((to, reason), (data(2), PassReason::OtherService));
@@ -247,7 +289,13 @@
 #[test]
 fn newer_settings_without_the_route_refuse() {
     let (agents, routes) = (three_agents(), RouteTable::new(Revision(2), []));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let verdict = arrived(&mut gate(), &open(1), &place(), context);
     let (origin, placed) = (control(9), ProcessId(1));
     assert_eq!(verdict, Verdict::Refuse { reason: RefuseReason::NoRoute, origin, placed });
@@ -256,7 +304,13 @@
 #[test]
 fn other_service_never_delivered() {
     let (agents, routes) = (three_agents(), routes(1, "labels"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let env = Envelope { service: tag("labels"), ..place() };
     assert_eq!(arrived(&mut gate(), &open(1), &env, context), Verdict::Drop);
     let env = Envelope { service: tag("labels"), ..envelope(search(SearchPlace::Directory(0))) };
@@ -268,7 +322,13 @@
 #[rstest]
 fn search_finds_owner(#[values(1, 2, 3, 4, 5, 6, 7, 8)] port: u16) {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gates: Vec<FlowGate> = (1..=3)
         .map(|n| {
             let mut gate = FlowGate::new(ProcessId(u64::from(n)), data(n), tag("orders"), NOW);
@@ -303,7 +363,13 @@
 #[test]
 fn unowned_flow_is_missing() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let last = envelope(search(SearchPlace::Holder(0)));
     let verdict = arrived(&mut gate(), &request(1), &last, context);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
@@ -315,7 +381,13 @@
     let mut members = [1, 2, 3].map(|n| member(n, "orders", MemberStatus::Serving));
     members[2].status = MemberStatus::Suspect;
     let (agents, routes) = (agents(&members), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let last = envelope(search(SearchPlace::Holder(0)));
     assert_eq!(arrived(&mut gate(), &request(1), &last, context), Verdict::Drop);
 }
@@ -325,7 +397,13 @@
 #[test]
 fn restarted_agent_asks_its_target() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = restarted_gate();
     let verdict =
         arrived(&mut gate, &request(1), &envelope(search(SearchPlace::Directory(0))), context);
@@ -343,7 +421,13 @@
 #[test]
 fn returned_opening_passed_on() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let Verdict::Deliver { mark, .. } = arrived(&mut gate, &open(1), &place(), context) else {
         panic!("not delivered")
@@ -358,7 +442,13 @@
 #[test]
 fn other_targets_flow_searched() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     let other = Segment { ack: TARGET_SEQ.wrapping_sub(70_000), ..request(1) };
@@ -373,7 +463,13 @@
 #[case::last(SegmentKind::Finish)]
 fn new_run_holds_no_flow(#[case] kind: SegmentKind) {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     arrived(&mut gate, &request(1), &envelope(PacketPurpose::Deliver), context);
@@ -391,7 +487,13 @@
 #[test]
 fn flows_of_the_new_run_kept() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     arrived(&mut gate, &request(1), &envelope(PacketPurpose::Deliver), context);
@@ -408,7 +510,13 @@
 #[test]
 fn unanswered_requests_counted() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     arrived(&mut gate, &request(1), &envelope(PacketPurpose::Deliver), context);
@@ -424,7 +532,13 @@
 #[test]
 fn passed_on_flow_followed() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     gate.set_standing(TargetStanding::Leaving, 5);
     let Verdict::Pass { to, envelope: env, .. } = arrived(&mut gate, &open(1), &place(), context)
@@ -448,7 +562,13 @@
 #[test]
 fn unheard_target_prevents_missing() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
     let last = envelope(search(SearchPlace::Holder(0)));
     let verdict = arrived(&mut gate, &request(1), &last, context);
@@ -460,7 +580,13 @@
 #[test]
 fn unsettled_view_prevents_missing() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: false, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: false,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let last = envelope(search(SearchPlace::Holder(0)));
     assert_eq!(arrived(&mut gate(), &request(1), &last, context), Verdict::Drop);
 }
@@ -501,7 +627,13 @@
 #[test]
 fn never_heard_target_holds_nothing() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW)
         .heartbeat_every(Duration::from_secs(1));
     let last = envelope(search(SearchPlace::Holder(0)));
@@ -517,7 +649,13 @@
     members[2].status = MemberStatus::Suspect;
     members[2].weight = Weight(0);
     let (agents, routes) = (agents(&members), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let last = envelope(search(SearchPlace::Holder(0)));
     let verdict = arrived(&mut gate(), &request(1), &last, context);
     assert_eq!(verdict, Verdict::Missing { origin: control(9) });
@@ -537,7 +675,13 @@
         ..RouteEntry::default()
     };
     let routes = RouteTable::new(Revision(1), [(ROUTE.parse().unwrap(), entry)]);
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let mut now = NOW;
     for _ in 0..100 {
@@ -560,7 +704,13 @@
 #[test]
 fn unowned_reset_held_back() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     let reset = segment(1, SegmentKind::Reset);
@@ -575,7 +725,13 @@
 #[test]
 fn silent_target_gets_no_flows() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     arrived(&mut gate, &open(1), &place(), context);
     let later = NOW + Duration::from_millis(400);
@@ -594,7 +750,13 @@
 #[test]
 fn only_open_flows_in_doubt() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     open_flow(&mut gate, 1, context);
     arrived(&mut gate, &request(1), &envelope(PacketPurpose::Deliver), context);
@@ -614,7 +776,13 @@
     let mut members = [1, 2].map(|n| member(n, "orders", MemberStatus::Serving));
     members[1].zone = "zone-2".parse().unwrap();
     let (agents, routes) = (agents(&members), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     for port in 1..=14 {
         let verdict = arrived(&mut gate, &open(port), &place(), context);
@@ -630,7 +798,13 @@
 #[test]
 fn answered_request_not_counted() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     for port in 1..=40 {
         open_flow(&mut gate, port, context);
@@ -643,7 +817,13 @@
 #[test]
 fn returned_flow_not_retried() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = restarted_gate();
     let env = envelope(search(SearchPlace::Directory(0)));
     let Verdict::Deliver { mark, .. } = arrived(&mut gate, &request(1), &env, context) else {
@@ -695,7 +875,13 @@
 #[test]
 fn absent_target_holds_nothing() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
     gate.set_presence(TargetPresence::Absent);
     let verdict =
@@ -714,7 +900,13 @@
 #[test]
 fn present_target_is_asked() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
     gate.set_presence(TargetPresence::Present);
     let env = envelope(search(SearchPlace::Holder(0)));
@@ -729,7 +921,13 @@
 #[test]
 fn late_connect_result_ignored() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = restarted_gate();
     gate.set_presence(TargetPresence::Absent);
     let env = envelope(search(SearchPlace::Holder(0)));
@@ -744,7 +942,13 @@
         (1..=200).map(|n| member(n, "orders", MemberStatus::Serving)).collect();
     let all = agents(&members);
     let routes = routes(1, "orders");
-    let context = GateContext { agents: &all, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &all,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut asked = 0;
     let mut env = envelope(search(SearchPlace::Directory(3)));
     loop {
@@ -801,7 +1005,13 @@
 #[test]
 fn second_search_asks_directories() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let place = Some(SearchPlace::Directory(3));
     let scope = SearchScope::Directories;
@@ -819,7 +1029,13 @@
 #[test]
 fn unsettled_search_skips_cold_target() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let unsettled = GateContext { agents: &agents, routes: &routes, settled: false, told: true };
+    let unsettled = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: false,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let settled = GateContext { settled: true, ..unsettled };
     let mut gate = restarted_gate();
     gate.set_cold(Duration::from_secs(2), NOW);
@@ -840,7 +1056,13 @@
 fn late_request_waits_for_slot() {
     let agents = agents(&[member(1, "orders", MemberStatus::Serving)]);
     let routes = routes(1, "orders");
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let env = envelope(PacketPurpose::Place { passed: Vec::new() });
     let seg = |port| segment(port, SegmentKind::Open { copies: 2 });
@@ -861,7 +1083,13 @@
     let table = agents(&members);
     let routes = routes(1, "orders");
     for settled in [true, false] {
-        let context = GateContext { agents: &table, routes: &routes, settled, told: true };
+        let context = GateContext {
+            agents: &table,
+            routes: &routes,
+            settled,
+            told: true,
+            siblings: &SiblingLoads::new(),
+        };
         let mut gate = gate();
         let port = (1..100)
             .find(|port| table.directory(&flow(*port)).all(|a| a.process != ProcessId(1)))
@@ -877,7 +1105,13 @@
 #[test]
 fn older_target_still_asked() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = FlowGate::new(ProcessId(1), data(1), tag("orders"), NOW);
     gate.set_presence(TargetPresence::Absent);
     gate.note_older_target();
@@ -891,7 +1125,13 @@
 #[test]
 fn failing_target_passes_on() {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     for port in 1..=3 {
         open_flow(&mut gate, port, context);
@@ -917,7 +1157,13 @@
 #[case::is_busy(true)]
 fn hanging_target_passes_on(#[case] answers: bool) {
     let (agents, routes) = (three_agents(), routes(1, "orders"));
-    let context = GateContext { agents: &agents, routes: &routes, settled: true, told: true };
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
     let mut gate = gate();
     let slots = 5;
     for port in 1..=slots {
--- a/crates/dillmill-core/tests/search_costs.rs
+++ b/crates/dillmill-core/tests/search_costs.rs
@@ -13,10 +13,11 @@
 use dillmill_core::{
     AgentTable, DirectoryCatchUp, Envelope, FlowCoverage, FlowGate, FlowTuple, Member,
     MemberStatus, PacketPurpose, ProcessId, RecordBatch, Registrations, Revision, Role, RouteEntry,
-    RouteTable, Search, Segment, SegmentKind, ServiceTag, Timestamp, Weight,
+    RouteTable, Search, Segment, SegmentKind, ServiceTag, SiblingLoads, Timestamp, Weight,
 };
 use rstest::rstest;
 
+static NO_SIBLINGS: SiblingLoads = SiblingLoads::new();
 const ROUTE: &str = "198.18.0.1:443";
 const START: Timestamp = Timestamp::from_millis(1_000_000_000);
 const TARGET_SEQ: u32 = 5000;
@@ -136,6 +137,7 @@
             routes: &self.routes,
             settled: true,
             told: self.catch_ups[n].is_complete(),
+            siblings: &NO_SIBLINGS,
         };
         let envelope =
             Envelope { service: orders(), revision: Revision(1), origin: addr(1, 1), purpose };
@@ -187,6 +189,7 @@
                         routes: &self.routes,
                         settled: true,
                         told: true,
+                        siblings: &NO_SIBLINGS,
                     };
                     self.gates[at].returned(&back, context, self.now)
                 }
--- a/crates/dillmill-core/tests/target_restarts.rs
+++ b/crates/dillmill-core/tests/target_restarts.rs
@@ -8,7 +8,7 @@
 use dillmill_core::target_runs::Predecessor;
 use dillmill_core::{
     AgentTable, Envelope, FlowGate, FlowTuple, PacketPurpose, ProcessId, Revision, RouteEntry,
-    RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, Weight,
+    RouteTable, Segment, SegmentKind, ServiceTag, SiblingLoads, Timestamp, Weight,
 };
 use rstest::{fixture, rstest};
 
@@ -49,8 +49,13 @@
 
 impl AgentUnderTest {
     fn arrives(&mut self, seg: &Segment, purpose: PacketPurpose, now: Timestamp) -> Verdict {
-        let context =
-            GateContext { agents: &self.agents, routes: &self.routes, settled: true, told: true };
+        let context = GateContext {
+            agents: &self.agents,
+            routes: &self.routes,
+            settled: true,
+            told: true,
+            siblings: &SiblingLoads::new(),
+        };
         let envelope =
             Envelope { service: orders(), revision: Revision(1), origin: addr(9, 1), purpose };
         self.gate.arrived(seg, &envelope, context, now)
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -9,6 +9,7 @@
 //! | `announcement` | what other processes are told about the target |
 //! | `directory` | records of other agents' flows, and registration of own flows with other agents |
 //! | `reports` | load reports to balancers |
+//! | `sharing` | exchange of loads with siblings, and moves of waiting packets to them |
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -19,8 +20,9 @@
 use dillmill_core::flow_gate::{TargetPresence, TargetStanding};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, CallerPackets, DirectoryCatchUp, FlowGate, MemberStatus, PauseDetector,
-    Registrations, RouteTable, ServiceName, ServiceTag, TargetRuns, Timestamp, ZoneName,
+    AgentTable, CallerPackets, DirectoryCatchUp, ExchangeRounds, FlowGate, MemberStatus,
+    PauseDetector, Registrations, RouteTable, ServiceName, ServiceTag, SiblingLoads, TargetRuns,
+    Timestamp, ZoneName,
 };
 use dillmill_node::{NodeError, NodeHandle, View, ViewReceiver};
 use dillmill_platform::{EndpointCall, ProcessSettings};
@@ -40,6 +42,7 @@
 mod heartbeats;
 mod packets;
 mod reports;
+mod sharing;
 mod waiting;
 
 /// Interval of periodic work. Each wake-up has a cost, so whatever can wait is sent on a tick; what can't
@@ -110,6 +113,8 @@
     /// Time since when other processes may use this agent as a flow directory.
     directory_since: Timestamp,
     report_subscribers: HashMap<SocketAddrV4, ReportSubscriber>,
+    exchanges: ExchangeRounds,
+    siblings: SiblingLoads,
     runs: TargetRuns,
     /// Caller packets with which the target is queried for the flows that it holds.
     caller_packets: CallerPackets,
@@ -163,6 +168,8 @@
             catch_up: DirectoryCatchUp::default(),
             directory_since: now,
             report_subscribers: HashMap::new(),
+            exchanges: ExchangeRounds::default(),
+            siblings: SiblingLoads::new(),
             runs: TargetRuns::new(settings.heartbeat_every),
             caller_packets: CallerPackets::default(),
             health: TargetHealth::Sound,
@@ -215,6 +222,9 @@
                     self.serve_queue(now).await;
                 }
                 Event::TargetPacketEffect(buf) => self.handle_target_packet(buf, now).await,
+                Event::Flow(from, FlowMessage::LoadExchange { reply, report }) => {
+                    self.handle_load_exchange(from, report, reply, now).await;
+                }
                 Event::Flow(from, message) => self.handle_flow_message(from, message, now),
                 Event::Call(call) => self.handle_call(call, now).await,
                 Event::Stop(request) => self.stop(request, now),
@@ -265,6 +275,7 @@
         self.send_records(due);
         self.catch_up(now);
         self.send_reports(now);
+        self.exchange_loads(now);
         self.gate.note_overdue(now);
         self.update_target_health(now);
         self.detect_absent_target(now);
--- a/crates/dillmill-flow/src/agent_task/directory.rs
+++ b/crates/dillmill-flow/src/agent_task/directory.rs
@@ -31,11 +31,9 @@
                 self.handle.send(from, Message::Flow(FlowMessage::RecordsComplete { process }));
             }
             FlowMessage::RecordsComplete { process } => self.catch_up.answered(process),
-            FlowMessage::AskLoad => {
-                let report = self.current_load(now);
-                self.handle.send(from, Message::Load(report));
-            }
+            FlowMessage::AskLoad => self.answer_load_request(from, now),
             FlowMessage::Owner { .. }
+            | FlowMessage::LoadExchange { .. }
             | FlowMessage::Missing { .. }
             | FlowMessage::Refused { .. } => {}
         }
--- a/crates/dillmill-flow/src/agent_task/packets.rs
+++ b/crates/dillmill-flow/src/agent_task/packets.rs
@@ -37,14 +37,17 @@
         envelope: Envelope,
         now: Timestamp,
     ) {
-        if matches!(envelope.purpose, PacketPurpose::Place { .. }) {
-            self.subscribe_to_reports(envelope.origin, now);
+        match envelope.purpose {
+            PacketPurpose::Place { .. } => self.subscribe_to_reports(envelope.origin, now),
+            PacketPurpose::Moved { .. } => self.counters.moved_in.inc(),
+            _ => {}
         }
         let context = GateContext {
             agents: &self.agents,
             routes: &self.routes,
             settled: self.settled,
             told: self.catch_up.is_complete(),
+            siblings: &self.siblings,
         };
         let verdict = self.gate.arrived(seg, &envelope, context, now);
         self.apply_verdict(verdict, seg, packet.to_vec(), now).await;
@@ -59,6 +62,7 @@
                 routes: &self.routes,
                 settled: self.settled,
                 told: self.catch_up.is_complete(),
+                siblings: &self.siblings,
             };
             let verdict = self.gate.returned(&seg, context, now);
             return self.apply_verdict(verdict, &seg, buf, now).await;
@@ -109,19 +113,19 @@
             }
             Verdict::Pass { to, envelope, reason } => {
                 self.remove_from_queue(seg);
-                if matches!(envelope.purpose, PacketPurpose::Place { .. }) {
-                    self.counters.passed_on.inc();
-                } else {
-                    self.counters.searched.inc();
+                match envelope.purpose {
+                    PacketPurpose::Place { .. } => self.counters.passed_on.inc(),
+                    PacketPurpose::Moved { .. } => self.counters.moved_out.inc(),
+                    _ => self.counters.searched.inc(),
                 }
-                self.log.flow(now, &seg.flow, format_args!("passed to {to}"), || {
-                    format!("{reason:?}, {:?}", envelope.purpose)
-                });
+                self.note_passed(&seg.flow, to, reason, &envelope.purpose, now);
                 self.forward(&envelope, seg, packet, to, now).await;
+                self.exchange_loads(now);
             }
             Verdict::Wait { terms, envelope, tell } => {
                 self.enqueue_open(seg, packet, envelope, terms, now);
                 self.notify_owner(tell, &seg.flow);
+                self.exchange_loads(now);
             }
             Verdict::Missing { origin } => {
                 self.log.flow(now, &seg.flow, "missing", || "no agent holds it".to_owned());
@@ -224,6 +228,8 @@
 fn purpose_traffic_kind(purpose: &PacketPurpose, seg: &Segment) -> TrafficKind {
     match purpose {
         PacketPurpose::Search(_) | PacketPurpose::Directed { .. } => TrafficKind::Search,
-        PacketPurpose::Place { .. } | PacketPurpose::Deliver => traffic_kind(seg),
+        PacketPurpose::Place { .. } | PacketPurpose::Moved { .. } | PacketPurpose::Deliver => {
+            traffic_kind(seg)
+        }
     }
 }
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -57,6 +57,7 @@
                 routes: &self.routes,
                 settled: self.settled,
                 told: self.catch_up.is_complete(),
+                siblings: &self.siblings,
             };
             let verdict = self.gate.decide_waiting(&seg, &open.envelope, context, now);
             Box::pin(self.apply_verdict(verdict, &seg, open.packet, now)).await;
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -315,6 +315,7 @@
         let kind = match purpose {
             PacketPurpose::Search(_) => TrafficKind::Search,
             PacketPurpose::Place { .. }
+            | PacketPurpose::Moved { .. }
             | PacketPurpose::Deliver
             | PacketPurpose::Directed { .. } => traffic_kind(seg),
         };
@@ -365,7 +366,8 @@
             | FlowMessage::RecordsAck { .. }
             | FlowMessage::AskRecords { .. }
             | FlowMessage::RecordsComplete { .. }
-            | FlowMessage::AskLoad => {}
+            | FlowMessage::AskLoad
+            | FlowMessage::LoadExchange { .. } => {}
         }
     }
 }
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -57,6 +57,16 @@
     pub answered: IntCounter,
     /// New flows passed to another agent.
     pub passed_on: IntCounter,
+    /// New flows passed from a busy target to a sibling because of the load that the sibling reported.
+    pub passed_by_load: IntCounter,
+    /// New flows passed from a busy target to a sibling whose load was not known.
+    pub passed_blind: IntCounter,
+    /// Waiting opening packets moved to a sibling.
+    pub moved_out: IntCounter,
+    /// Opening packets that siblings have moved here.
+    pub moved_in: IntCounter,
+    /// Load reports sent to siblings.
+    pub exchanges: IntCounter,
     /// Packets passed on in the search for their flow's owner.
     pub searched: IntCounter,
     /// New flows refused, with a reset.
@@ -88,6 +98,20 @@
             answered: metrics.counter("dillmill_flow_answered", "Packets sent to callers")?,
             passed_on: metrics
                 .counter("dillmill_flow_passed_on", "New flows passed to another agent")?,
+            passed_by_load: metrics.counter(
+                "dillmill_flow_passed_by_load",
+                "New flows passed to a sibling by its reported load",
+            )?,
+            passed_blind: metrics.counter(
+                "dillmill_flow_passed_blind",
+                "New flows passed to a sibling whose load was not known",
+            )?,
+            moved_out: metrics
+                .counter("dillmill_flow_moved_out", "Waiting new flows moved to a sibling")?,
+            moved_in: metrics
+                .counter("dillmill_flow_moved_in", "New flows that siblings moved here")?,
+            exchanges: metrics
+                .counter("dillmill_load_exchanges_sent", "Load reports sent to siblings")?,
             searched: metrics
                 .counter("dillmill_flow_searched", "Packets passed on in search of the owner")?,
             refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
--- a/crates/dillmill-node/src/traffic.rs
+++ b/crates/dillmill-node/src/traffic.rs
@@ -82,7 +82,8 @@
         match message {
             Message::Probe(Probe::Records(_) | Probe::Sample(_)) => Self::Members,
             Message::Probe(_) => Self::Probe,
-            Message::Load(_) | Message::Flow(FlowMessage::AskLoad) => Self::Load,
+            Message::Load(_)
+            | Message::Flow(FlowMessage::AskLoad | FlowMessage::LoadExchange { .. }) => Self::Load,
             Message::Flow(
                 FlowMessage::Records { .. }
                 | FlowMessage::RecordsAck { .. }
--- a/crates/dillmill-wire/src/flow_message.rs
+++ b/crates/dillmill-wire/src/flow_message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use dillmill_core::placement::LoadReport;
 use dillmill_core::{Envelope, FlowRecord, FlowTuple, Member, ProcessId};
 use serde::{Deserialize, Serialize};
 
@@ -58,6 +59,14 @@
     },
     /// Asks an agent to report its load.
     AskLoad,
+    /// Tells a sibling the sender's load. Sent only to agents that have sent this message or, as an
+    /// agent, [`FlowMessage::AskLoad`]; earlier versions do neither.
+    LoadExchange {
+        /// Whether the receiver is to reply with its own load.
+        reply: bool,
+        /// Load of the sender; last, as later versions may add fields to it.
+        report: LoadReport,
+    },
 }
 
 /// Appends `envelope` and `packet` to `buf`.
