--- a/crates/dillmill-core/src/load/open_queue/wait_terms.rs
+++ b/crates/dillmill-core/src/load/open_queue/wait_terms.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Sets how long the packet has waited at other agents. They have received the retransmissions that
+    /// were due in that time, or would not have moved the packet.
+    #[must_use]
+    pub fn waited(mut self, waited: Duration, now: Timestamp) -> Self {
+        self.since = now - waited;
+        let due = RETRANSMIT_TIMES[1..].iter().filter(|due| waited >= **due).count();
+        self.copies = self.copies.max(u32::try_from(due).unwrap_or(u32::MAX));
+        self
+    }
+
     /// Sets the attempt timeout assumed for callers of the route.
     #[must_use]
     pub fn attempt_timeout(mut self, attempt_timeout: Duration) -> Self {
--- a/crates/dillmill-core/tests/priority_loads.rs
+++ b/crates/dillmill-core/tests/priority_loads.rs
@@ -11,7 +11,8 @@
 use dillmill_core::target_runs::Predecessor;
 use dillmill_core::{
     AgentTable, Envelope, FlowGate, FlowTuple, OverloadPolicy, PacketPurpose, Priority, ProcessId,
-    Revision, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp, Weight,
+    Revision, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, SiblingLoads, Timestamp,
+    Weight,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -124,8 +125,13 @@
         now: Timestamp,
     ) {
         let agents = AgentTable::default();
-        let context =
-            GateContext { agents: &agents, routes: &self.routes, settled: true, told: true };
+        let context = GateContext {
+            agents: &agents,
+            routes: &self.routes,
+            settled: true,
+            told: true,
+            siblings: &SiblingLoads::new(),
+        };
         let purpose = match seg.kind {
             SegmentKind::Open { .. } => PacketPurpose::Place { passed: Vec::new() },
             _ => PacketPurpose::Deliver,
@@ -231,8 +237,13 @@
     /// Opens a feed's flow with an answered request.
     fn open_feed(&mut self, request: usize, now: Timestamp) {
         let agents = AgentTable::default();
-        let context =
-            GateContext { agents: &agents, routes: &self.routes, settled: true, told: true };
+        let context = GateContext {
+            agents: &agents,
+            routes: &self.routes,
+            settled: true,
+            told: true,
+            siblings: &SiblingLoads::new(),
+        };
         let accept = self.seg(request, 1, SegmentKind::Accept);
         let data = Segment { kind: SegmentKind::Data, ack: TARGET_SEQ + 1, len: 100, ..accept };
         let asked = now - Duration::from_secs_f64(WORK_MS[FEED] / 1e3);
--- a/crates/dillmill-core/tests/priority_orders.rs
+++ b/crates/dillmill-core/tests/priority_orders.rs
@@ -8,8 +8,8 @@
 use dillmill_core::target_runs::Predecessor;
 use dillmill_core::{
     AgentTable, Envelope, FlowGate, FlowTuple, OverloadPolicy, PacketPurpose, Percent, Priority,
-    ProcessId, Revision, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, Timestamp,
-    Weight,
+    ProcessId, Revision, RouteEntry, RouteTable, Segment, SegmentKind, ServiceTag, SiblingLoads,
+    Timestamp, Weight,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -121,8 +121,13 @@
 
     fn decide(&mut self, seg: &Segment, waiting: bool) -> Verdict {
         let agents = AgentTable::default();
-        let context =
-            GateContext { agents: &agents, routes: &self.routes, settled: true, told: true };
+        let context = GateContext {
+            agents: &agents,
+            routes: &self.routes,
+            settled: true,
+            told: true,
+            siblings: &SiblingLoads::new(),
+        };
         if waiting {
             self.gate.decide_waiting(seg, &env(seg.kind), context, START)
         } else {
