fix(standins): script step `slots` compares with the slots that were set

Cause: the step counted a target as overrun above five requests at once, whatever number of slots `start` had set.

Change: it compares with the slots of the target's service in the cluster's specification. Changes of the setting while a script runs are not followed.

--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -192,6 +192,18 @@
         names
     }
 
+    /// Returns the number of slots that the cluster's specification sets for a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no service of the cluster has such a target.
+    pub fn target_slots(&self, name: &str) -> Result<usize, StandinError> {
+        let service = name.rsplit_once("-t").map(|(service, _)| service);
+        let spec = self.spec.services.iter().find(|spec| Some(spec.name.as_str()) == service);
+        let missing = || StandinError::new("find slots", format!("no target named {name}"));
+        spec.map(|spec| spec.slots).ok_or_else(missing)
+    }
+
     /// Opens a caller's flow to a service.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/scenario/step.rs
+++ b/crates/dillmill-standins/src/scenario/step.rs
@@ -229,7 +229,8 @@
     Left(String),
     /// Waits for a number of milliseconds. Example: `pause 200`.
     Pause(u64),
-    /// Prints how many requests targets shed, and how many targets ever ran more than 5 requests at once.
+    /// Prints how many requests targets shed, and how many targets ever ran more requests at once than the
+    /// slots that `start` sets.
     Slots,
     /// Prints how many requests arrived at a target of another service.
     WrongService,
--- a/crates/dillmill-standins/src/scenario/steps.rs
+++ b/crates/dillmill-standins/src/scenario/steps.rs
@@ -253,7 +253,7 @@
     for name in cluster.target_names() {
         if let Ok(counts) = cluster.target_counts(&name).await {
             shed += counts.shed;
-            overrun += u64::from(counts.most_at_once > 5);
+            overrun += u64::from(counts.most_at_once > cluster.target_slots(&name)?);
         }
     }
     Ok(format!("{shed} shed by targets, {overrun} targets overrun\n"))
