fix(standins): a restarted target binds its address while no process starts

Cause: `flows_of_an_ended_target_reset` and `flows_of_a_silent_new_run_kept` close a target's sockets and bind the same address again. A child process that another test of the same program is starting holds a copy of every open socket until it executes its own program, so the address stayed in use. The port, 18165, is below the ephemeral range, so outgoing sockets are not the cause.

Change: starts of processes take a lock. A replaced target first closes its sockets, and the next run is bound while it holds the lock, when no child holds a copy. The fleet's checks are unchanged.

--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -52,8 +52,10 @@
         silence: Duration,
     ) -> Result<(), StandinError> {
         let vm = self.vm(name)?;
-        vm.target = None;
-        vm.target = Some(FlowTarget::spawn(&vm.settings, id, silence).await?);
+        if let Some(previous) = vm.target.take() {
+            previous.stop().await?;
+        }
+        vm.target = Some(FlowTarget::spawn(&vm.settings, id, silence)?);
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -17,7 +17,7 @@
 use dillmill_platform::{Heartbeat, ProcessSettings, TargetState};
 use rand::Rng;
 
-use crate::StandinError;
+use crate::{StandinError, process};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_DATAGRAM: usize = 2048;
@@ -42,7 +42,9 @@
 /// A running target; its tasks end when it is dropped.
 pub struct FlowTarget {
     state: Rc<RefCell<State>>,
-    _tasks: [JoinHandle<()>; 3],
+    tasks: [JoinHandle<()>; 3],
+    socket: UdpSocket,
+    health: TcpListener,
 }
 
 impl FlowTarget {
@@ -52,7 +54,7 @@
     /// # Errors
     ///
     /// Fails when its address can't be bound.
-    pub async fn spawn(
+    pub fn spawn(
         settings: &ProcessSettings,
         id: &str,
         silence: Duration,
@@ -63,8 +65,7 @@
         let outbound = settings.from_target.ok_or_else(missing)?;
         let heartbeats = settings.heartbeats.ok_or_else(missing)?;
         let service = settings.service.clone().ok_or_else(missing)?;
-        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
-        let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
+        let (socket, health) = bind(app).map_err(StandinError::at(step))?;
         let state = Rc::new(RefCell::new(State {
             id: id.to_owned(),
             service,
@@ -78,14 +79,27 @@
             executed: BTreeSet::new(),
             acknowledged: None,
         }));
-        let packets = receive_packets(socket, SocketAddr::V4(outbound), state.clone());
+        let packets = receive_packets(socket.clone(), SocketAddr::V4(outbound), state.clone());
         let url = format!("http://{heartbeats}{TARGET_PATH}/{}", reported_id(id));
         let tasks = [
             compio::runtime::spawn(packets),
-            compio::runtime::spawn(accept(health)),
+            compio::runtime::spawn(accept(health.clone())),
             compio::runtime::spawn(send_heartbeats(url, silence, state.clone())),
         ];
-        Ok(Self { state, _tasks: tasks })
+        Ok(Self { state, tasks, socket, health })
+    }
+
+    /// Ends the target, and returns when its sockets are closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a socket can't be closed.
+    pub async fn stop(self) -> Result<(), StandinError> {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.socket.close().await.map_err(StandinError::at("close a target's packet socket"))?;
+        self.health.close().await.map_err(StandinError::at("close a target's listener"))
     }
 
     /// Reports with the next heartbeat that the target is leaving.
@@ -93,6 +107,12 @@
         self.state.borrow_mut().announced = TargetState::Draining;
     }
 
+    /// Returns whether its agent has acknowledged a heartbeat that reports it as ready.
+    #[must_use]
+    pub fn ready_acknowledged(&self) -> bool {
+        self.state.borrow().acknowledged == Some(TargetState::Ready)
+    }
+
     /// Returns whether its agent has acknowledged a heartbeat that reports it as leaving.
     #[must_use]
     pub fn drain_acknowledged(&self) -> bool {
@@ -118,6 +138,14 @@
     }
 }
 
+/// Binds the target's address for packets and for connections, as an earlier run may have done before.
+fn bind(app: SocketAddrV4) -> std::io::Result<(UdpSocket, TcpListener)> {
+    let _guard = process::pause_starts();
+    let socket = UdpSocket::from_std(std::net::UdpSocket::bind(app)?)?;
+    let health = TcpListener::from_std(std::net::TcpListener::bind(app)?)?;
+    Ok((socket, health))
+}
+
 /// Returns the id that a run reports in heartbeats: runs `vm/n` with an even number reuse the old id, the
 /// name of the VM.
 fn reported_id(run: &str) -> String {
