--- a/crates/dillmill-standins/src/command.rs
+++ b/crates/dillmill-standins/src/command.rs
@@ -32,7 +32,7 @@
 runs one of the users' deployments under open-loop load and prints one JSON result;
 `report` prints a table of several results. `packets` compares a balancer's cost of a
 packet with that of `forwarder`. `slopes` measures the cost of decisions at the planned
-size of the installation, `waiting` compares orders of waiting packets in virtual time,
+size of the installation, `waiting` compares orders of waiting requests in virtual time by priority,
 `idle` measures the cost of the control traffic alone, `flows` the cost of open flows.
 `soak` runs packet flows on real processes under random faults of each seed, and fails
 when a guarantee is violated.";
