fix(standins): a restarted target takes over the sockets of the run before

Probably a started program resumes its parent before it has closed the copies of the sockets; this was not shown.

Change: the next run of a target takes over the bound sockets, so nothing is released and bound again, and the lock around starts is removed. Packets that arrive between two runs reach the new run. The fleet's checks are unchanged.

--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -52,10 +52,11 @@
         silence: Duration,
     ) -> Result<(), StandinError> {
         let vm = self.vm(name)?;
-        if let Some(previous) = vm.target.take() {
-            previous.stop().await?;
-        }
-        vm.target = Some(FlowTarget::spawn(&vm.settings, id, silence)?);
+        let run = match vm.target.take() {
+            Some(previous) => previous.replace(&vm.settings, id, silence).await?,
+            None => FlowTarget::spawn(&vm.settings, id, silence).await?,
+        };
+        vm.target = Some(run);
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -17,7 +17,7 @@
 use dillmill_platform::{Heartbeat, ProcessSettings, TargetState};
 use rand::Rng;
 
-use crate::{StandinError, process};
+use crate::StandinError;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_DATAGRAM: usize = 2048;
@@ -54,18 +54,51 @@
     /// # Errors
     ///
     /// Fails when its address can't be bound.
-    pub fn spawn(
+    pub async fn spawn(
         settings: &ProcessSettings,
         id: &str,
         silence: Duration,
     ) -> Result<Self, StandinError> {
         let step = format!("start target {id}");
-        let missing = || StandinError::new(step.clone(), "the settings lack an address");
+        let app = settings.target.ok_or_else(|| missing_address(id))?;
+        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
+        let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
+        Self::run(settings, id, silence, socket, health)
+    }
+
+    /// Ends this run of the target and starts another one as [`spawn`](Self::spawn) does.
+    ///
+    /// The new run takes over the bound sockets, and packets that arrive between the two runs. If the address
+    /// were bound again, it could be in use: a process that another thread is starting holds copies of the
+    /// closed sockets for a moment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings lack an address.
+    pub async fn replace(
+        self,
+        settings: &ProcessSettings,
+        id: &str,
+        silence: Duration,
+    ) -> Result<Self, StandinError> {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        Self::run(settings, id, silence, self.socket, self.health)
+    }
+
+    fn run(
+        settings: &ProcessSettings,
+        id: &str,
+        silence: Duration,
+        socket: UdpSocket,
+        health: TcpListener,
+    ) -> Result<Self, StandinError> {
+        let missing = || missing_address(id);
         let app = settings.target.ok_or_else(missing)?;
         let outbound = settings.from_target.ok_or_else(missing)?;
         let heartbeats = settings.heartbeats.ok_or_else(missing)?;
         let service = settings.service.clone().ok_or_else(missing)?;
-        let (socket, health) = bind(app).map_err(StandinError::at(step))?;
         let state = Rc::new(RefCell::new(State {
             id: id.to_owned(),
             service,
@@ -89,19 +122,6 @@
         Ok(Self { state, tasks, socket, health })
     }
 
-    /// Ends the target, and returns when its sockets are closed.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a socket can't be closed.
-    pub async fn stop(self) -> Result<(), StandinError> {
-        for task in self.tasks {
-            task.cancel().await;
-        }
-        self.socket.close().await.map_err(StandinError::at("close a target's packet socket"))?;
-        self.health.close().await.map_err(StandinError::at("close a target's listener"))
-    }
-
     /// Reports with the next heartbeat that the target is leaving.
     pub fn drain(&self) {
         self.state.borrow_mut().announced = TargetState::Draining;
@@ -138,12 +158,8 @@
     }
 }
 
-/// Binds the target's address for packets and for connections, as an earlier run may have done before.
-fn bind(app: SocketAddrV4) -> std::io::Result<(UdpSocket, TcpListener)> {
-    let _guard = process::pause_starts();
-    let socket = UdpSocket::from_std(std::net::UdpSocket::bind(app)?)?;
-    let health = TcpListener::from_std(std::net::TcpListener::bind(app)?)?;
-    Ok((socket, health))
+fn missing_address(id: &str) -> StandinError {
+    StandinError::new(format!("start target {id}"), "the settings lack an address")
 }
 
 /// Returns the id that a run reports in heartbeats: runs `vm/n` with an even number reuse the old id, the
--- a/crates/dillmill-standins/src/process.rs
+++ b/crates/dillmill-standins/src/process.rs
@@ -3,29 +3,12 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::StandinError;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Held while a child process is being started. Until the child executes its own program, it holds a copy
-/// of every socket that is open in this process.
-static STARTS: Mutex<()> = Mutex::new(());
-
-/// Waits until no child process is being started, and delays further starts while the guard is held.
-///
-/// An address whose socket was closed before can then be bound again: no child holds a copy of the socket.
-pub(crate) fn pause_starts() -> MutexGuard<'static, ()> {
-    STARTS.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn start(command: &mut Command) -> std::io::Result<Child> {
-    let _guard = pause_starts();
-    command.spawn()
-}
-
 /// A child process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct Process {
@@ -83,9 +66,14 @@
             .open(&log)
             .map_err(StandinError::at(step()))?;
         let err = out.try_clone().map_err(StandinError::at(step()))?;
-        let mut command = Command::new(program);
-        command.args(args).envs(env.iter().copied()).stdin(Stdio::null()).stdout(out).stderr(err);
-        let child = start(&mut command).map_err(StandinError::at(step()))?;
+        let child = Command::new(program)
+            .args(args)
+            .envs(env.iter().copied())
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()
+            .map_err(StandinError::at(step()))?;
         Ok(Self { name: name.to_owned(), child, log })
     }
 
@@ -109,10 +97,9 @@
 
     fn signal(&self, signal: &str) -> Result<(), StandinError> {
         let step = format!("send {signal} to {}", self.name);
-        let mut command = Command::new("kill");
-        command.args([format!("-{signal}"), self.child.id().to_string()]);
-        let status = start(&mut command)
-            .and_then(|mut kill| kill.wait())
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), self.child.id().to_string()])
+            .status()
             .map_err(StandinError::at(step.clone()))?;
         if status.success() { Ok(()) } else { Err(StandinError::new(step, status)) }
     }
