fix(flow): a watch on a silent connection to the store is given up

Cause: `silent_connections_replaced` was flaky for two reasons in its setup. Agents hear no target of a service that the configuration does not name, so new flows were refused for up to a heartbeat after the change (log of a failed run: ten refusals within 1.3 ms, "0 of 1 flows open"). Processes register and watch the store only 1.5 s after their start, so the connections that went silent were not those of watches ("no silenced connection was used").

Change: the watch has a client and connections of its own, and is given up when the store no longer answers the process's other calls. The test waits until the targets are heard and three watches wait; its checks are unchanged.

A single watch connection that goes silent while renewals pass still lasts until the timeout.

--- a/crates/dillmill-flow/src/operator_watch.rs
+++ b/crates/dillmill-flow/src/operator_watch.rs
@@ -19,13 +19,14 @@
     document, operator_key,
 };
 use error_stack::Report;
+use futures_util::future::{Either, select};
 use rand::Rng;
 
 use crate::session::FLEET_SIZE_KEY;
 use crate::unreadable;
 
 /// Longest duration of one watch call: calls are paid for, also those that end without changes. A watch
-/// whose connection is lost silently is noticed sooner, as the lease is not renewed then either.
+/// whose connection is lost silently is given up sooner if the lease is not renewed then either.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 /// Pause between two calls to the store: changes that come faster are read together.
 const COALESCE_DELAY: Duration = Duration::from_millis(100);
@@ -95,8 +96,12 @@
         } else {
             PeerWait::Scaled(rand::rng().random())
         };
+        // A client of its own, with connections of its own: in a shared pool a waiting watch takes the
+        // connection of the lease renewals, and they open another one when the watch's goes silent. They
+        // would then never show that the store no longer answers on the older connections.
+        let store = Store::new(node.store.base()).unwrap_or_else(|_| node.store.clone());
         let watch = Self {
-            store: node.store.clone(),
+            store,
             handle: node.handle.clone(),
             views: node.handle.views(),
             view: None,
@@ -119,9 +124,15 @@
                 compio::time::sleep(OFF_DUTY_POLL_INTERVAL).await;
                 continue;
             }
-            let pause = match self.poll_store().await {
-                Ok(()) => COALESCE_DELAY,
-                Err(report) => {
+            let pause = match self.poll_while_reachable().await {
+                None => {
+                    self.after = None;
+                    let cause = "lease of the entry not renewed";
+                    self.handle.journal.record(EventKind::Platform, "watch given up", cause);
+                    RETRY_DELAY
+                }
+                Some(Ok(())) => COALESCE_DELAY,
+                Some(Err(report)) => {
                     self.after = None;
                     self.handle.metrics.platform_errors.inc();
                     let cause = report.current_context().to_string();
@@ -189,6 +200,29 @@
             && store_selection::is_selected(view.me.process, members, store_selection::WATCHERS)
     }
 
+    /// Polls the store. A watch is given up, with `None`, when the store does not answer this process's
+    /// other calls: its connection may be lost as well, and the call would end only at its timeout.
+    async fn poll_while_reachable(&mut self) -> Option<StoreResult<()>> {
+        if self.after.is_none() {
+            return Some(self.poll_store().await);
+        }
+        let views = self.handle.views();
+        let store_lost = async move {
+            while let Some(view) = views.next().await {
+                if view.me.store == StoreReach::Fails {
+                    return;
+                }
+            }
+            std::future::pending::<()>().await;
+        };
+        let poll = self.poll_store();
+        futures_util::pin_mut!(store_lost, poll);
+        match select(poll, store_lost).await {
+            Either::Left((outcome, _)) => Some(outcome),
+            Either::Right(((), _)) => None,
+        }
+    }
+
     async fn poll_store(&mut self) -> StoreResult<()> {
         let Some(after) = self.after else { return self.read_all().await };
         match self.store.watch(operator_key::PREFIX, after, WATCH_TIMEOUT).await? {
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -23,7 +23,7 @@
 
 use crate::flow_proxy::FlowProxy;
 use crate::flow_router::FlowRouter;
-use crate::platform::PlatformFaults;
+use crate::platform::{PlatformCounts, PlatformFaults};
 use crate::process::{Process, program};
 use crate::subnet::Subnet;
 use crate::{FlowCaller, StandinError};
@@ -36,6 +36,8 @@
 const STORE_HOST: u8 = 1;
 const PROXY_HOST: u8 = 2;
 const FIRST_CALLER: u8 = 200;
+/// Port of the first route that no caller uses.
+const FIRST_UNUSED_PORT: u16 = 1001;
 
 /// A running fleet; all of its processes end when it is dropped.
 pub struct FlowFleet {
@@ -166,19 +168,32 @@
     ///
     /// Fails when the write to the store fails.
     pub async fn set_route(&self, version: u64, service: &str) -> Result<(), StandinError> {
-        let service: ServiceName = service.parse().map_err(StandinError::at("name a service"))?;
-        let route = Route {
-            name: "main".to_owned(),
-            address: self.route(),
-            shares: vec![(service, Weight(1))],
-            timeout: None,
-            repeatable: false,
-            latency_aim: None,
-            priority: None,
-            overload: Overload::default(),
-        };
+        self.set_routes(version, service, &[]).await
+    }
+
+    /// Writes a configuration as [`set_route`](Self::set_route) does, with a route that no caller uses for
+    /// each of `others`.
+    ///
+    /// Agents refuse heartbeats of a service that the configuration does not name, so without such a route
+    /// the targets of a service begin to serve only some time after the route has been led to them, and new
+    /// flows are refused until then.
+    ///
+    /// # Errors
+    ///
+    /// As [`set_route`](Self::set_route).
+    pub async fn set_routes(
+        &self,
+        version: u64,
+        service: &str,
+        others: &[&str],
+    ) -> Result<(), StandinError> {
+        let mut routes = vec![route("main", self.route(), service)?];
+        for (port, other) in (FIRST_UNUSED_PORT..).zip(others) {
+            let address = SocketAddrV4::new(*self.route().ip(), port);
+            routes.push(route(&format!("unused-{port}"), address, other)?);
+        }
         let idle = Interval::from_millis(15_000);
-        let tree = RouteTree::new(Revision(version), idle, Vec::new(), vec![route])
+        let tree = RouteTree::new(Revision(version), idle, Vec::new(), routes)
             .map_err(StandinError::at("make a configuration"))?;
         let value = document::encode(&tree);
         let put = self.store.put(operator_key::DOCUMENT, value, LeaseId::default()).await;
@@ -217,7 +232,21 @@
         Ok(())
     }
 
-    /// Returns the address of the fleet's only route.
+    /// Returns the number of watches that wait for a change at the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-in does not answer.
+    pub async fn open_watches(&self) -> Result<u64, StandinError> {
+        let step = || StandinError::at("count watches");
+        let client = Client::new().map_err(step())?;
+        let url = format!("{}/standin/counts", self.store.base());
+        let res = client.get(url).map_err(step())?.send().await.map_err(step())?;
+        let counts: PlatformCounts = res.json().await.map_err(step())?;
+        Ok(counts.watches)
+    }
+
+    /// Returns the address of the route that callers use.
     #[must_use]
     pub fn route(&self) -> SocketAddrV4 {
         SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
@@ -246,6 +275,20 @@
     }
 }
 
+fn route(name: &str, address: SocketAddrV4, service: &str) -> Result<Route, StandinError> {
+    let service: ServiceName = service.parse().map_err(StandinError::at("name a service"))?;
+    Ok(Route {
+        name: name.to_owned(),
+        address,
+        shares: vec![(service, Weight(1))],
+        timeout: None,
+        repeatable: false,
+        latency_aim: None,
+        priority: None,
+        overload: Overload::default(),
+    })
+}
+
 /// Waits up to `limit` until `done` returns true.
 ///
 /// # Errors
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use dillmill_core::store_selection::WATCHERS;
 use dillmill_standins::flow_fleet::wait;
 use dillmill_standins::platform::PlatformFaults;
 use dillmill_standins::{FlowCaller, FlowError, FlowFleet, OpenFlow, StandinError};
@@ -334,19 +335,36 @@
     });
 }
 
+/// Waits until all processes that watch the store wait for a change there. Processes register, and watch,
+/// only some time after their start.
+async fn wait_for_watches(fleet: &FlowFleet) -> Result<(), StandinError> {
+    let started = std::time::Instant::now();
+    while fleet.open_watches().await? < WATCHERS as u64 {
+        assert!(started.elapsed() < WAIT_TIMEOUT, "too few processes watch the store");
+        compio::time::sleep(Duration::from_millis(25)).await;
+    }
+    Ok(())
+}
+
 /// Processes must replace connections to the store on which nothing arrives any more, as happens when a
 /// firewall has dropped their state. All open connections go silent for good; a later change must still
-/// take effect.
+/// take effect. All processes that watch the store wait for a change at that moment: earlier, the connections
+/// that matter may not exist yet.
 #[test]
 fn silent_connections_replaced() {
     on_runtime(async {
         let fleet = FlowFleet::start(2, &[("orders", 2), ("labels", 2)]).await?;
         let caller = fleet.caller(0).await?;
-        fleet.set_route(2, "orders").await?;
+        fleet.set_routes(2, "orders", &["labels"]).await?;
         open(&caller, &fleet, 4).await;
+        for labels in ["labels-1", "labels-2"] {
+            let target = fleet.target(labels)?;
+            wait(WAIT_TIMEOUT, "the heartbeats", || target.ready_acknowledged()).await?;
+        }
+        wait_for_watches(&fleet).await?;
 
         fleet.proxy().silence_open_connections();
-        fleet.set_route(3, "labels").await?;
+        fleet.set_routes(3, "labels", &["orders"]).await?;
         let started = std::time::Instant::now();
         loop {
             let mut flows = open(&caller, &fleet, 1).await;
