--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -52,8 +52,11 @@
         silence: Duration,
     ) -> Result<(), StandinError> {
         let vm = self.vm(name)?;
-        vm.target = None;
-        vm.target = Some(FlowTarget::spawn(&vm.settings, id, silence).await?);
+        let run = match vm.target.take() {
+            Some(previous) => previous.replace(&vm.settings, id, silence).await?,
+            None => FlowTarget::spawn(&vm.settings, id, silence).await?,
+        };
+        vm.target = Some(run);
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -42,7 +42,9 @@
 /// A running target; its tasks end when it is dropped.
 pub struct FlowTarget {
     state: Rc<RefCell<State>>,
-    _tasks: [JoinHandle<()>; 3],
+    tasks: [JoinHandle<()>; 3],
+    socket: UdpSocket,
+    health: TcpListener,
 }
 
 impl FlowTarget {
@@ -58,13 +60,45 @@
         silence: Duration,
     ) -> Result<Self, StandinError> {
         let step = format!("start target {id}");
-        let missing = || StandinError::new(step.clone(), "the settings lack an address");
+        let app = settings.target.ok_or_else(|| missing_address(id))?;
+        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
+        let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
+        Self::run(settings, id, silence, socket, health)
+    }
+
+    /// Ends this run of the target and starts another one as [`spawn`](Self::spawn) does.
+    ///
+    /// The new run takes over the bound sockets, and packets that arrive between the two runs. If the address
+    /// were bound again, it could be in use: a process that another thread is starting holds copies of the
+    /// closed sockets for a moment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings lack an address.
+    pub async fn replace(
+        self,
+        settings: &ProcessSettings,
+        id: &str,
+        silence: Duration,
+    ) -> Result<Self, StandinError> {
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        Self::run(settings, id, silence, self.socket, self.health)
+    }
+
+    fn run(
+        settings: &ProcessSettings,
+        id: &str,
+        silence: Duration,
+        socket: UdpSocket,
+        health: TcpListener,
+    ) -> Result<Self, StandinError> {
+        let missing = || missing_address(id);
         let app = settings.target.ok_or_else(missing)?;
         let outbound = settings.from_target.ok_or_else(missing)?;
         let heartbeats = settings.heartbeats.ok_or_else(missing)?;
         let service = settings.service.clone().ok_or_else(missing)?;
-        let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
-        let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
         let state = Rc::new(RefCell::new(State {
             id: id.to_owned(),
             service,
@@ -78,14 +112,14 @@
             executed: BTreeSet::new(),
             acknowledged: None,
         }));
-        let packets = receive_packets(socket, SocketAddr::V4(outbound), state.clone());
+        let packets = receive_packets(socket.clone(), SocketAddr::V4(outbound), state.clone());
         let url = format!("http://{heartbeats}{TARGET_PATH}/{}", reported_id(id));
         let tasks = [
             compio::runtime::spawn(packets),
-            compio::runtime::spawn(accept(health)),
+            compio::runtime::spawn(accept(health.clone())),
             compio::runtime::spawn(send_heartbeats(url, silence, state.clone())),
         ];
-        Ok(Self { state, _tasks: tasks })
+        Ok(Self { state, tasks, socket, health })
     }
 
     /// Reports with the next heartbeat that the target is leaving.
@@ -93,6 +127,12 @@
         self.state.borrow_mut().announced = TargetState::Draining;
     }
 
+    /// Returns whether its agent has acknowledged a heartbeat that reports it as ready.
+    #[must_use]
+    pub fn ready_acknowledged(&self) -> bool {
+        self.state.borrow().acknowledged == Some(TargetState::Ready)
+    }
+
     /// Returns whether its agent has acknowledged a heartbeat that reports it as leaving.
     #[must_use]
     pub fn drain_acknowledged(&self) -> bool {
@@ -118,6 +158,10 @@
     }
 }
 
+fn missing_address(id: &str) -> StandinError {
+    StandinError::new(format!("start target {id}"), "the settings lack an address")
+}
+
 /// Returns the id that a run reports in heartbeats: runs `vm/n` with an even number reuse the old id, the
 /// name of the VM.
 fn reported_id(run: &str) -> String {
