feat(core): refused HTTP/3 callers return one after another

Each caller that the scheduler refused was told the drain time of its group's queue, so all of them returned at the same time and most were refused again.

ReturnSchedule gives each refused caller a time of its own: the drain time first, then one return per service time / slots within the group's share, at most 5 s ahead. Groups with callers that have yet to return count towards the shares. Callers beyond what is served in 5 s are spread over these 5 s again. With a free slot and an empty queue the delay is as before, and never below 100 ms.

--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`agent_table`] | in which order agents are queried for the owner of a flow |
 //! | [`evacuations`] | which data centres receive no new flows |
 //! | [`open_queue`] | which opening packet is served next at an overloaded target |
+//! | [`return_schedule`] | when refused callers should return |
 //! | [`attempt_timeout`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that fails requests is ejected for a while |
 //! | [`answer_norms`] | which answers of a target are outliers |
@@ -63,7 +64,7 @@
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
     attempt_timeout, cold_start, open_queue, overload_policy, placement, priority, retry_budget,
-    scheduler, warm_up,
+    return_schedule, scheduler, warm_up,
 };
 pub use membership::member;
 pub use target::{
@@ -99,6 +100,7 @@
 pub use pending_searches::PendingSearches;
 pub use priority::{PRIORITY_CLASSES, Priority};
 pub use registrations::{RecordBatch, Registrations};
+pub use return_schedule::ReturnSchedule;
 pub use route_table::{RouteEntry, RouteTable};
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -3,6 +3,7 @@
 //! | Module | Responsibility |
 //! |---|---|
 //! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
+//! | [`return_schedule`] | when refused callers return |
 //! | [`priority`] | priority of the requests on a route |
 //! | [`overload_policy`] | settings that govern decisions under overload |
 //! | [`attempt_timeout`] | how long callers wait for the answer to an opening packet |
@@ -19,5 +20,6 @@
 pub mod placement;
 pub mod priority;
 pub mod retry_budget;
+pub mod return_schedule;
 pub mod scheduler;
 pub mod warm_up;
--- a/crates/dillmill-core/src/load/scheduler.rs
+++ b/crates/dillmill-core/src/load/scheduler.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use crate::{GroupName, Slots, Timestamp, Weight};
+use crate::{GroupName, ReturnSchedule, Slots, Timestamp, Weight};
 
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(20);
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -117,6 +117,7 @@
     groups: BTreeMap<GroupName, GroupQueue>,
     virtual_time: u64,
     service_time: Duration,
+    returns: ReturnSchedule,
     closed: bool,
 }
 
@@ -131,6 +132,7 @@
             groups: BTreeMap::new(),
             virtual_time: 0,
             service_time: DEFAULT_SERVICE_TIME,
+            returns: ReturnSchedule::default(),
             closed: false,
         }
     }
@@ -182,12 +184,11 @@
 
     /// Starts, queues or refuses a request.
     pub fn offer(&mut self, request: &SchedulingRequest, now: Timestamp) -> Offer {
-        let retry_after = self.drain_time(&request.group);
         if self.closed || self.slots.0 == 0 {
-            return Offer::Refuse(Refusal::Closed, retry_after);
+            return Offer::Refuse(Refusal::Closed, self.drain_time(&request.group));
         }
         if request.deadline <= now {
-            return Offer::Refuse(Refusal::TooLate, retry_after);
+            return self.refuse(Refusal::TooLate, request, now);
         }
         let group = self.groups.entry(request.group.clone()).or_insert_with(|| GroupQueue {
             weight: request.weight,
@@ -202,11 +203,11 @@
             return Offer::Run;
         }
         if waiting >= request.max_queue {
-            return Offer::Refuse(Refusal::QueueFull, retry_after);
+            return self.refuse(Refusal::QueueFull, request, now);
         }
         let wait = self.wait_time(&request.group, waiting);
         if now + wait + self.service_time > request.deadline {
-            return Offer::Refuse(Refusal::TooLate, retry_after);
+            return self.refuse(Refusal::TooLate, request, now);
         }
         let give_up_at = request.deadline.min(now + request.max_wait);
         let entry = QueuedRequest { deadline: request.deadline, id: request.id, give_up_at };
@@ -268,16 +269,20 @@
         let mut out = Vec::new();
         let names: Vec<GroupName> = self.groups.keys().cloned().collect();
         for name in names {
-            let retry_after = self.drain_time(&name);
             let Some(group) = self.groups.get_mut(&name) else { continue };
+            let weight = group.weight;
+            let mut expired = Vec::new();
             group.waiting.retain(|w| {
                 let keep = w.give_up_at > now;
                 if !keep {
-                    let refusal = Refusal::WaitedTooLong;
-                    out.push(Expired { id: w.id, refusal, retry_after });
+                    expired.push(w.id);
                 }
                 keep
             });
+            for id in expired {
+                let retry_after = self.return_delay(&name, weight, now);
+                out.push(Expired { id, refusal: Refusal::WaitedTooLong, retry_after });
+            }
         }
         self.groups.retain(|_, g| {
             g.running > 0 || !g.waiting.is_empty() || g.virtual_time > self.virtual_time
@@ -321,6 +326,29 @@
         self.service_time.saturating_mul(ahead) * active.max(own) / (own * slots)
     }
 
+    fn refuse(&mut self, refusal: Refusal, request: &SchedulingRequest, now: Timestamp) -> Offer {
+        Offer::Refuse(refusal, self.return_delay(&request.group, request.weight, now))
+    }
+
+    /// Returns when a refused caller of the group should retry. Under load, refused callers return
+    /// one after another, as fast as the group is served within its share.
+    fn return_delay(&mut self, name: &GroupName, weight: Weight, now: Timestamp) -> Duration {
+        let drain_time = self.drain_time(name);
+        if self.has_free_slot() && self.queued() == 0 {
+            return drain_time;
+        }
+        let active = self.groups.iter().filter(|(_, g)| !g.waiting.is_empty() || g.running > 0);
+        let active = active.map(|(other, group)| (other, group.weight));
+        let mut weights: BTreeMap<&GroupName, Weight> = active.collect();
+        weights.extend(self.returns.pending(now));
+        weights.insert(name, weight);
+        let total: u32 = weights.values().map(|w| u32::from(w.0.max(1))).sum();
+        let slots = u32::from(self.slots.0.max(1));
+        let interval =
+            self.service_time.saturating_mul(total) / (u32::from(weight.0.max(1)) * slots);
+        self.returns.next_delay(name, weight, drain_time, interval, now)
+    }
+
     /// Returns the time until the group's queue is expected to be empty, used as the retry delay.
     fn drain_time(&self, name: &GroupName) -> Duration {
         let ahead = self.groups.get(name).map_or(0, |g| g.waiting.len());
