feat(core,flow): admission control for new flows under overload

Requests that can't be served stayed queued until their callers gave up.

AdmissionLevel holds the refused share of new flows of one service at a balancer, by class of priority. It rises by 5 points and falls by 10 in 100 ms; a class is refused only while all lower ones in use are at 90 %. The shortest expected wait of the reporting agents counts. Reports older than 500 ms don't, and a cold target counts as one without a wait. Retransmissions are not refused, as an earlier copy may have reached a target. Agents refuse waiting packets that can't be served within their callers' attempts, after a third of the timeout, and none while one of lower priority keeps its place.

The level begins at a wait of twice the timeout and is full at three times, and agents refuse from three times the timeout on.

--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | `opening` | whether a new flow is given to the target, waits, goes on to another agent or is refused |
 //! | `waiting` | which waiting packet is next |
+//! | `refusing` | which waiting packets are refused because they can't be served in time for their callers |
 //! | `finding` | where the owner of an open flow is looked for, and when no agent holds it |
 //! | `target` | whether there is a target, what it can take, and which run of it sends heartbeats |
 
@@ -31,6 +32,7 @@
 mod finding;
 mod lookup;
 mod opening;
+mod refusing;
 mod run_change;
 mod target;
 mod verdict;
@@ -39,6 +41,7 @@
 pub use answered::Answered;
 use arrival::Arrival;
 pub use context::GateContext;
+pub use refusing::UnservableOpen;
 pub use run_change::RunChange;
 pub use verdict::{PassReason, RefuseReason, TargetPresence, TargetStanding, Verdict};
 use waiting::DispatchedOpen;
@@ -94,6 +97,8 @@
     /// Packets that have left the queue, kept until it is known whether their callers were still
     /// there.
     dispatched: VecDeque<DispatchedOpen>,
+    /// When the queue was last searched for packets that can't be served.
+    unservable_sought: Timestamp,
     trials: Vec<Option<Envelope>>,
     next_trial: usize,
     /// Flows whose packets the target has returned. The target can only come to hold such a flow
@@ -122,6 +127,7 @@
             directory: FlowDirectory::default(),
             opens: OpenQueue::new(now),
             dispatched: VecDeque::new(),
+            unservable_sought: Timestamp::default(),
             trials: vec![None; MAX_TRIALS],
             next_trial: 0,
             not_held: GenerationCache::new(FULL_COVERAGE_AFTER, NOT_HELD_CAPACITY),
--- a/crates/dillmill-core/src/flow/flow_gate/verdict.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/verdict.rs
@@ -64,6 +64,8 @@
     NoRoute,
     /// The targets asked have more work than they can do in time.
     Crowded,
+    /// The packet's turn would come after its caller's attempt ends.
+    Unservable,
 }
 
 /// What the agent has to do with a packet.
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -11,6 +11,8 @@
 //! | [`agent_table`] | in which order agents are queried for the owner of a flow |
 //! | [`evacuations`] | which data centres receive no new flows |
 //! | [`open_queue`] | which opening packet is served next at an overloaded target |
+//! | [`admission_level`] | which new flows of an overloaded service a balancer refuses |
+//! | [`unservable`] | which waiting packets can't be served within their callers' attempts |
 //! | [`return_schedule`] | when refused callers should return |
 //! | [`attempt_timeout`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that fails requests is ejected for a while |
@@ -63,14 +65,15 @@
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
-    attempt_timeout, cold_start, open_queue, overload_policy, placement, priority, retry_budget,
-    return_schedule, scheduler, warm_up,
+    admission_level, attempt_timeout, cold_start, open_queue, overload_policy, placement, priority,
+    retry_budget, return_schedule, scheduler, unservable, warm_up,
 };
 pub use membership::member;
 pub use target::{
     answer_norms, caller_packets, outcomes, target_flows, target_pace, target_run, target_runs,
 };
 
+pub use admission_level::AdmissionLevel;
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
 pub use cold_start::ColdStart;
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -3,6 +3,8 @@
 //! | Module | Responsibility |
 //! |---|---|
 //! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
+//! | [`admission_level`] | share of new flows that a balancer refuses under overload |
+//! | [`unservable`] | waiting packets that can't be served within their callers' attempts |
 //! | [`return_schedule`] | when refused callers return |
 //! | [`priority`] | priority of the requests on a route |
 //! | [`overload_policy`] | settings that govern decisions under overload |
@@ -13,6 +15,7 @@
 //! | [`placement`] | agent that runs a request, by load reports of siblings |
 //! | [`retry_budget`] | whether a request may be retried |
 
+pub mod admission_level;
 pub mod attempt_timeout;
 pub mod cold_start;
 pub mod open_queue;
@@ -22,4 +25,5 @@
 pub mod retry_budget;
 pub mod return_schedule;
 pub mod scheduler;
+pub mod unservable;
 pub mod warm_up;
--- a/crates/dillmill-core/src/load/attempt_timeout.rs
+++ b/crates/dillmill-core/src/load/attempt_timeout.rs
@@ -17,7 +17,7 @@
 const TRANSIT_MS: u64 = 40;
 /// Attempts over which callers spread the timeout of a repeatable request: the first one and two
 /// retries (the users' sheets on kinds of request).
-const ATTEMPTS: u32 = 3;
+pub const ATTEMPTS: u32 = 3;
 /// Width of a histogram step; a target with 5 slots takes some 10 opening packets in this time.
 const STEP: Duration = Duration::from_millis(100);
 /// Number of steps, up to the longest wait of 1.4 s.
--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -18,6 +18,7 @@
 //! each of them would be back with another attempt. Under a load that stays at the targets'
 //! capacity it would also make every answer late in order to save a few.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -145,8 +146,8 @@
             let gives_up = waited + URGENT_MARGIN >= self.attempt_timeout;
             return if gives_up { WaitState::Abandoned } else { WaitState::Pending };
         }
-        let last_attempt = age < self.timeout && MIN_OUTAGE + age + attempt_timeout >= self.timeout;
-        let ends = waited + URGENT_MARGIN >= attempt_timeout && last_attempt;
+        let ends =
+            waited + URGENT_MARGIN >= attempt_timeout && self.last_attempt(attempt_timeout, age);
         if waited >= attempt_timeout || self.retransmission_missing(waited) {
             WaitState::Abandoned
         } else if ends {
@@ -156,6 +157,11 @@
         }
     }
 
+    /// Returns whether the caller may have no further attempt, at an agent that has run for `age`.
+    fn last_attempt(&self, attempt_timeout: Duration, age: Duration) -> bool {
+        age < self.timeout && MIN_OUTAGE + age + attempt_timeout >= self.timeout
+    }
+
     fn retransmission_missing(&self, waited: Duration) -> bool {
         let next = usize::try_from(self.copies).unwrap_or(usize::MAX).saturating_add(1);
         RETRANSMIT_TIMES.get(next).is_some_and(|due| waited >= *due + RETRANSMIT_SLACK)
@@ -268,6 +274,30 @@
         next.map(|i| self.waiting.swap_remove(i))
     }
 
+    /// Returns the queued packets in the order in which the target would get them from now on.
+    #[must_use]
+    pub fn in_order(&self, ahead: Duration, now: Timestamp) -> Vec<&WaitingOpen> {
+        let mut order: Vec<&WaitingOpen> = self.waiting.iter().collect();
+        order.sort_by_cached_key(|open| {
+            let since = open.terms.since;
+            let gives_up = since + self.attempt_timeout(&open.flow, &open.terms, now);
+            match self.wait_state(open, now) {
+                WaitState::Urgent => (0, gives_up, Reverse(since)),
+                _ if open.terms.in_time(ahead, now) => (1, Timestamp::default(), Reverse(since)),
+                WaitState::Pending => (2, gives_up, Reverse(since)),
+                WaitState::Abandoned => (3, Timestamp::default(), Reverse(since)),
+            }
+        });
+        order
+    }
+
+    /// Returns whether the caller of a queued packet may have no further attempt.
+    #[must_use]
+    pub fn last_attempt(&self, open: &WaitingOpen, now: Timestamp) -> bool {
+        let attempt_timeout = self.attempt_timeout(&open.flow, &open.terms, now);
+        open.terms.last_attempt(attempt_timeout, now.since(self.started))
+    }
+
     /// Returns the packet in this state whose caller gives up first.
     fn first_to_give_up(&self, wait_state: WaitState, now: Timestamp) -> Option<usize> {
         let all = self.waiting.iter().enumerate();
--- a/crates/dillmill-flow/src/agent_task/packets.rs
+++ b/crates/dillmill-flow/src/agent_task/packets.rs
@@ -151,11 +151,22 @@
     }
 
     pub(super) fn refuse(&mut self, flow: &FlowTuple, verdict: &Verdict, now: Timestamp) {
+        self.refuse_with(flow, verdict, "", now);
+    }
+
+    /// Tells the balancer that a flow is refused; `detail` is added to the log line.
+    pub(super) fn refuse_with(
+        &mut self,
+        flow: &FlowTuple,
+        verdict: &Verdict,
+        detail: &str,
+        now: Timestamp,
+    ) {
         let Verdict::Refuse { reason, origin, placed } = *verdict else { return };
         self.counters.refused.inc();
         let standing = self.gate.standing();
         self.log.flow(now, flow, "refused", || {
-            format!("{reason:?}, target {standing:?}, placed at {placed}")
+            format!("{reason:?}, target {standing:?}, placed at {placed}{detail}")
         });
         self.handle.send(origin, Message::Flow(FlowMessage::Refused { flow: *flow, placed }));
     }
--- a/crates/dillmill-flow/src/agent_task/waiting.rs
+++ b/crates/dillmill-flow/src/agent_task/waiting.rs
@@ -50,6 +50,7 @@
         for (open, verdict) in self.gate.take_abandoned(now) {
             self.refuse(&open.flow, &verdict, now);
         }
+        self.refuse_unservable(now);
         while let Some(open) = self.gate.next_waiting(now) {
             let Ok(seg) = packet::decode(&open.packet, Sender::Caller) else { continue };
             let context = GateContext {
@@ -62,4 +63,21 @@
             Box::pin(self.apply_verdict(verdict, &seg, open.packet, now)).await;
         }
     }
+
+    /// Refuses the queued opening packets that can't be served within their callers' attempts.
+    fn refuse_unservable(&mut self, now: Timestamp) {
+        for lost in self.gate.take_unservable(&self.routes, now) {
+            let flow = lost.open.flow;
+            let priority =
+                self.routes.get(flow.route()).map_or_else(Default::default, |r| r.priority);
+            self.counters.refused_unservable[priority.class()].inc();
+            let detail = format!(
+                ", turn in {}, has waited {}, callers wait {}",
+                format_millis(lost.turn),
+                format_millis(now.since(lost.open.terms.since)),
+                format_millis(lost.attempt_timeout)
+            );
+            self.refuse_with(&flow, &lost.verdict, &detail, now);
+        }
+    }
 }
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -1,6 +1,7 @@
 //! Event loop of a balancer: receives the packets of callers and sends each to an agent.
 
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,10 +11,10 @@
 use dillmill_core::owner_cache::{MISSING_CONFIRM_DELAY, MISSING_CONFIRM_DELAY_AT_START};
 use dillmill_core::placement::LoadReport;
 use dillmill_core::{
-    AgentTable, EarlyPacket, EarlyPackets, Envelope, EventKind, FlowPlacement, FlowTuple,
-    LinkAdmission, OutboundDatagram, Owner, OwnerCache, PacketId, PacketPurpose, PauseDetector,
-    PendingSearches, RouteTable, SearchScope, Segment, SegmentKind, ServiceTag, Timestamp,
-    ZoneName,
+    AdmissionLevel, AgentTable, EarlyPacket, EarlyPackets, Envelope, EventKind, FlowPlacement,
+    FlowTuple, LinkAdmission, OutboundDatagram, Owner, OwnerCache, PacketId, PacketPurpose,
+    PauseDetector, PendingSearches, RouteTable, SearchScope, Segment, SegmentKind, ServiceTag,
+    Timestamp, ZoneName,
 };
 use dillmill_node::{NodeError, NodeHandle, TrafficKind, View, ViewReceiver};
 use dillmill_platform::ProcessSettings;
@@ -27,6 +28,7 @@
 use crate::uplink::{Uplink, traffic_kind};
 
 mod opening;
+mod overload;
 mod searching;
 
 /// Interval of periodic work: checks for silent agents, repeated searches and readiness.
@@ -66,6 +68,8 @@
     uplink: Uplink,
     link_free: flume::Receiver<()>,
     admission: LinkAdmission,
+    /// Refused shares of new flows under overload, by service.
+    levels: HashMap<ServiceTag, AdmissionLevel>,
     early_packets: EarlyPackets,
     control: SocketAddrV4,
     zone: ZoneName,
@@ -110,6 +114,7 @@
             uplink,
             link_free,
             admission: LinkAdmission::new(settings.link, now),
+            levels: HashMap::new(),
             early_packets: EarlyPackets::default(),
             control,
             zone: settings.zone.clone(),
@@ -155,7 +160,7 @@
             self.route_early_packets(now).await;
             match event {
                 Event::Packet(buf) => self.handle_packet(&buf, now).await,
-                Event::Load(report) => self.placement.report(report),
+                Event::Load(report) => self.note_report(report, now),
                 Event::Flow(message) => self.handle_flow_message(message, now).await,
                 Event::RetrySearch(flow) => {
                     self.retry_search(flow, SearchScope::Directories, now).await;
@@ -209,6 +214,7 @@
     }
 
     async fn tick(&mut self, now: Timestamp) {
+        self.step_levels(now);
         self.open_queued(now).await;
         for flow in self.searches.take_due(now) {
             self.retry_search(flow, SearchScope::All, now).await;
@@ -263,7 +269,7 @@
                 let Some(service) = route.service(&seg.flow) else {
                     return self.no_route(seg, now).await;
                 };
-                if self.admit(seg, copies, service, route, buf, now) {
+                if self.admit(seg, copies, service, route, buf, now).await {
                     self.open(seg, copies, service, buf, now).await;
                 }
             }
--- a/crates/dillmill-flow/src/balancer_task/opening.rs
+++ b/crates/dillmill-flow/src/balancer_task/opening.rs
@@ -12,7 +12,7 @@
 impl BalancerTask {
     /// Returns whether a new flow may begin now; if not, its opening packet is queued until the link can
     /// carry it.
-    pub(super) fn admit(
+    pub(super) async fn admit(
         &mut self,
         seg: &Segment,
         copies: u32,
@@ -27,6 +27,9 @@
         if copies > 0 && self.owners.get(&seg.flow, now).is_some() {
             return true;
         }
+        if self.refused_for_overload(seg, copies, service, route, now).await {
+            return false;
+        }
         let attempt_timeout = attempt_timeout::assumed(route.timeout, route.repeatable);
         let terms = LinkAdmission::terms(copies, route.latency_aim, now)
             .attempt_timeout(attempt_timeout)
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of packet flows.
 
+use dillmill_core::PRIORITY_CLASSES;
 use dillmill_node::{Metrics, NodeError};
 use prometheus::{Histogram, IntCounter, IntGauge};
 
@@ -7,6 +8,15 @@
 /// centre to a caller's deadline.
 const WAIT_BUCKETS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
 
+/// Registers one metric for each class of priority.
+fn by_class<T>(
+    register: impl Fn(&str) -> Result<T, NodeError>,
+    name: &str,
+) -> Result<[T; PRIORITY_CLASSES], NodeError> {
+    let [a, b, c, d] = std::array::from_fn(|class| register(&format!("{name}_class_{class}")));
+    Ok([a?, b?, c?, d?])
+}
+
 /// Metrics of a balancer.
 #[derive(Debug, Clone)]
 pub struct BalancerCounters {
@@ -18,6 +28,11 @@
     pub placed_far: IntCounter,
     /// New flows refused, with a reset.
     pub refused: IntCounter,
+    /// New flows refused by admission control, by class of priority.
+    pub refused_for_overload: [IntCounter; PRIORITY_CLASSES],
+    /// Share of new flows that admission control refuses now, in percent, by class of priority: the
+    /// largest over all services.
+    pub admission_level: [IntGauge; PRIORITY_CLASSES],
     /// Packets of flows whose owner was not known.
     pub searched: IntCounter,
     /// Flows reset because no agent holds them.
@@ -39,6 +54,14 @@
             placed_far: metrics
                 .counter("dillmill_flow_placed_far", "New flows given to another data centre")?,
             refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            refused_for_overload: by_class(
+                |name| metrics.counter(name, "New flows refused by admission control"),
+                "dillmill_flow_refused_overload",
+            )?,
+            admission_level: by_class(
+                |name| metrics.gauge(name, "Percent of new flows refused by admission control"),
+                "dillmill_flow_admission_level",
+            )?,
             searched: metrics
                 .counter("dillmill_flow_searched", "Packets whose owner was not known")?,
             missing: metrics
@@ -61,6 +84,8 @@
     pub searched: IntCounter,
     /// New flows refused, with a reset.
     pub refused: IntCounter,
+    /// Waiting new flows refused by admission control, by class of priority.
+    pub refused_unservable: [IntCounter; PRIORITY_CLASSES],
     /// Packets that the target returned.
     pub returned: IntCounter,
     /// Packets dropped.
@@ -91,6 +116,10 @@
             searched: metrics
                 .counter("dillmill_flow_searched", "Packets passed on in search of the owner")?,
             refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            refused_unservable: by_class(
+                |name| metrics.counter(name, "Waiting new flows refused by admission control"),
+                "dillmill_flow_refused_unservable",
+            )?,
             returned: metrics
                 .counter("dillmill_flow_returned", "Packets that the target gave back")?,
             dropped: metrics.counter("dillmill_flow_dropped", "Packets dropped")?,
