--- a/crates/dillmill-core/src/flow/flow_gate/waiting.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/waiting.rs
@@ -46,8 +46,8 @@
 
     /// Returns the number of packets in the queue by the class of their priority.
     #[must_use]
-    pub fn waiting_by_class(&self) -> [u16; PRIORITY_CLASSES] {
-        self.opens.waiting_by_class()
+    pub fn waiting_by_class(&self, now: Timestamp) -> [u16; PRIORITY_CLASSES] {
+        self.opens.waiting_by_class(now)
     }
 
     /// Returns how many packets have left the queue for each of [`TakeReason::ALL`].
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -11,6 +11,9 @@
 //! | [`agent_table`] | in which order agents are queried for the owner of a flow |
 //! | [`evacuations`] | which data centres receive no new flows |
 //! | [`open_queue`] | which opening packet is served next at an overloaded target |
+//! | [`admission_level`] | which new flows of an overloaded service a balancer refuses |
+//! | [`unservable`] | which waiting packets can't be served within their callers' attempts |
+//! | [`return_schedule`] | when refused callers should return |
 //! | [`attempt_timeout`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that fails requests is ejected for a while |
 //! | [`answer_norms`] | which answers of a target are outliers |
@@ -64,8 +67,9 @@
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
-    agent_load, attempt_timeout, cold_start, exchange_rounds, open_queue, overload_policy,
-    placement, priority, rebalancing, retry_budget, scheduler, sibling_loads, warm_up,
+    admission_level, agent_load, attempt_timeout, cold_start, exchange_rounds, open_queue,
+    overload_policy, placement, priority, rebalancing, retry_budget, return_schedule, scheduler,
+    sibling_loads, unservable, warm_up,
 };
 pub use membership::member;
 pub use target::{
@@ -73,6 +77,7 @@
     target_run, target_runs, target_speed,
 };
 
+pub use admission_level::AdmissionLevel;
 pub use agent_load::AgentLoad;
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
@@ -104,6 +109,7 @@
 pub use pending_searches::PendingSearches;
 pub use priority::{PRIORITY_CLASSES, Priority};
 pub use registrations::{RecordBatch, Registrations};
+pub use return_schedule::ReturnSchedule;
 pub use route_table::{RouteEntry, RouteTable};
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -3,6 +3,9 @@
 //! | Module | Responsibility |
 //! |---|---|
 //! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
+//! | [`admission_level`] | share of new flows that a balancer refuses under overload |
+//! | [`unservable`] | waiting packets that can't be served within their callers' attempts |
+//! | [`return_schedule`] | when refused callers return |
 //! | [`priority`] | priority of the requests on a route |
 //! | [`overload_policy`] | settings that govern decisions under overload |
 //! | [`attempt_timeout`] | how long callers wait for the answer to an opening packet |
@@ -16,6 +19,7 @@
 //! | [`exchange_rounds`] | when, and with which siblings, an agent exchanges its load |
 //! | [`rebalancing`] | siblings that serve an overloaded agent's opening packets sooner |
 
+pub mod admission_level;
 pub mod agent_load;
 pub mod attempt_timeout;
 pub mod cold_start;
@@ -26,6 +30,8 @@
 pub mod priority;
 pub mod rebalancing;
 pub mod retry_budget;
+pub mod return_schedule;
 pub mod scheduler;
 pub mod sibling_loads;
+pub mod unservable;
 pub mod warm_up;
--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -257,6 +257,21 @@
         Rank::new(&open.terms, state, attempt_timeout, ahead, now)
     }
 
+    /// Returns the queued packets in the order in which the target would get them from now on.
+    #[must_use]
+    pub fn in_order(&self, ahead: Duration, now: Timestamp) -> Vec<&WaitingOpen> {
+        let mut order: Vec<&WaitingOpen> = self.waiting.iter().collect();
+        order.sort_by_cached_key(|open| self.rank(open, ahead, now));
+        order
+    }
+
+    /// Returns whether the caller of a queued packet may have no further attempt.
+    #[must_use]
+    pub fn last_attempt(&self, open: &WaitingOpen, now: Timestamp) -> bool {
+        let attempt_timeout = self.attempt_timeout(&open.flow, &open.terms, now);
+        open.terms.last_attempt(attempt_timeout, now.since(self.started))
+    }
+
     /// Returns the packet in this state whose caller gives up first.
     fn first_to_give_up(&self, wait_state: WaitState, now: Timestamp) -> Option<usize> {
         let all = self.waiting.iter().enumerate();
@@ -323,11 +338,13 @@
         Some(self.waiting.swap_remove(i))
     }
 
-    /// Returns the number of queued packets by the class of their priority.
+    /// Returns the number of queued packets by the class of their priority, without those whose
+    /// callers have probably given up: they take no time of the target while others wait.
     #[must_use]
-    pub fn waiting_by_class(&self) -> [u16; PRIORITY_CLASSES] {
+    pub fn waiting_by_class(&self, now: Timestamp) -> [u16; PRIORITY_CLASSES] {
         let mut waiting = [0_u16; PRIORITY_CLASSES];
-        for open in &self.waiting {
+        let there = |open: &&WaitingOpen| self.wait_state(open, now) != WaitState::Abandoned;
+        for open in self.waiting.iter().filter(there) {
             let class = &mut waiting[open.terms.priority.class()];
             *class = class.saturating_add(1);
         }
--- a/crates/dillmill-core/src/load/open_queue/wait_terms.rs
+++ b/crates/dillmill-core/src/load/open_queue/wait_terms.rs
@@ -168,8 +168,8 @@
             let gives_up = waited + URGENT_MARGIN >= self.attempt_timeout;
             return if gives_up { WaitState::Abandoned } else { WaitState::Pending };
         }
-        let last_attempt = age < self.timeout && MIN_OUTAGE + age + attempt_timeout >= self.timeout;
-        let ends = waited + URGENT_MARGIN >= attempt_timeout && last_attempt;
+        let ends =
+            waited + URGENT_MARGIN >= attempt_timeout && self.last_attempt(attempt_timeout, age);
         if waited >= attempt_timeout || self.retransmission_missing(waited) {
             WaitState::Abandoned
         } else if ends {
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Returns whether the caller may have no further attempt, at an agent that has run for `age`.
+    pub(super) fn last_attempt(&self, attempt_timeout: Duration, age: Duration) -> bool {
+        age < self.timeout && MIN_OUTAGE + age + attempt_timeout >= self.timeout
+    }
+
     fn retransmission_missing(&self, waited: Duration) -> bool {
         let next = usize::try_from(self.copies).unwrap_or(usize::MAX).saturating_add(1);
         RETRANSMIT_TIMES.get(next).is_some_and(|due| waited >= *due + RETRANSMIT_SLACK)
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -29,7 +29,7 @@
             flows: load.flows,
             pace: self.gate.pace(now),
             detail: LoadDetail {
-                waiting: self.gate.waiting_by_class(),
+                waiting: self.gate.waiting_by_class(now),
                 flow_demand: Some(self.gate.flow_demand(now)),
             },
         }
--- a/crates/dillmill-flow/src/flow_metrics.rs
+++ b/crates/dillmill-flow/src/flow_metrics.rs
@@ -23,6 +23,11 @@
     pub placed_far: IntCounter,
     /// New flows refused, with a reset.
     pub refused: IntCounter,
+    /// New flows refused by admission control, by class of priority.
+    pub refused_for_overload: Vec<IntCounter>,
+    /// Share of new flows that admission control refuses now, in percent, by class of priority: the
+    /// largest over all services.
+    pub admission_level: Vec<IntGauge>,
     /// Packets of flows whose owner was not known.
     pub searched: IntCounter,
     /// Flows reset because no agent holds them.
@@ -44,6 +49,18 @@
             placed_far: metrics
                 .counter("dillmill_flow_placed_far", "New flows given to another data centre")?,
             refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            refused_for_overload: metrics.counters(
+                "dillmill_flow_refused_overload",
+                "New flows refused by admission control, by the priority of their routes",
+                "priority",
+                &PRIORITY_LABELS,
+            )?,
+            admission_level: metrics.gauges(
+                "dillmill_flow_admission_level",
+                "Percent of new flows refused by admission control, by the priority of their routes",
+                "priority",
+                &PRIORITY_LABELS,
+            )?,
             searched: metrics
                 .counter("dillmill_flow_searched", "Packets whose owner was not known")?,
             missing: metrics
@@ -76,6 +93,8 @@
     pub searched: IntCounter,
     /// New flows refused, with a reset.
     pub refused: IntCounter,
+    /// Waiting new flows refused by admission control, by class of priority.
+    pub refused_unservable: Vec<IntCounter>,
     /// Packets that the target returned.
     pub returned: IntCounter,
     /// Packets dropped.
@@ -128,6 +147,12 @@
             searched: metrics
                 .counter("dillmill_flow_searched", "Packets passed on in search of the owner")?,
             refused: metrics.counter("dillmill_flow_refused", "New flows refused")?,
+            refused_unservable: metrics.counters(
+                "dillmill_flow_refused_unservable",
+                "Waiting new flows refused by admission control, by the priority of their routes",
+                "priority",
+                &PRIORITY_LABELS,
+            )?,
             returned: metrics
                 .counter("dillmill_flow_returned", "Packets that the target gave back")?,
             dropped: metrics.counter("dillmill_flow_dropped", "Packets dropped")?,
--- a/crates/dillmill-standins/src/waiting/simulation.rs
+++ b/crates/dillmill-standins/src/waiting/simulation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dillmill_core::open_queue::{WaitTerms, WaitingOpen};
-use dillmill_core::{Timestamp, attempt_timeout};
+use dillmill_core::{OverloadPolicy, Timestamp, attempt_timeout};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -216,6 +216,13 @@
         }
     }
 
+    /// Returns the agents' policy: priority order applies where classes differ in priority.
+    fn policy(&self) -> OverloadPolicy {
+        let classes = &self.scenario.classes;
+        let priority_order = classes.iter().any(|class| class.priority != classes[0].priority);
+        OverloadPolicy { priority_order, ..OverloadPolicy::default() }
+    }
+
     fn packet(&mut self, at: Attempt, copies: u32, now: Timestamp) {
         let class = self.class(at.n);
         let req = &self.requests[at.n];
@@ -227,7 +234,7 @@
             flow: flow(at.n, at.number),
             packet: Vec::new(),
             envelope: envelope(),
-            terms: wait_terms(&class, copies, now),
+            terms: wait_terms(&class, copies, now).policy(self.policy()),
         };
         let request = WaitingRequest {
             n: at.n,
@@ -298,9 +305,12 @@
 /// Returns the terms that an agent gives a packet of this class.
 fn wait_terms(class: &CallerClass, copies: u32, now: Timestamp) -> WaitTerms {
     let timeout = class.timeout;
-    let terms = WaitTerms::new(copies, class.latency_objective / 2, now).timeout(timeout);
+    let terms = WaitTerms::new(copies, class.latency_objective / 2, now)
+        .timeout(timeout)
+        .priority(class.priority);
     if class.open_flow {
-        return terms.attempt_timeout(timeout).of_open_flow();
+        // A request of the simulation is a single packet, so any sequence number will do.
+        return terms.attempt_timeout(timeout).of_open_flow(0);
     }
     terms.attempt_timeout(attempt_timeout::assumed(Some(timeout), class.repeatable))
 }
