feat(core): long-lived flows go by the speed of targets before any is full

A long-lived flow stays at its target. In a calm time flows were placed by slots and number of flows alone, so slow targets held as many as fast ones, and had too much demand at the next peak.

--- a/crates/dillmill-core/src/flow/flow_placement.rs
+++ b/crates/dillmill-core/src/flow/flow_placement.rs
@@ -8,9 +8,9 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::target_cost::{Comparison, is_full, target_cost};
+use super::target_cost::{Comparison, differs_in_speed, is_full, target_cost};
 use crate::agent_table::{AgentEntry, AgentTable};
-use crate::flow_kinds::FlowKinds;
+use crate::flow_kinds::{FlowKind, FlowKinds};
 use crate::flow_volume::FlowVolume;
 use crate::placement::LoadReport;
 use crate::segment::Segment;
@@ -182,10 +182,15 @@
         let full = |a: &AgentEntry| {
             self.loads.get(&a.process).is_some_and(|load| is_full(&load.report, load.sent))
         };
-        let comparison = if open().any(full) {
-            Comparison::ByTime(self.kinds.of(flow.route()))
-        } else {
-            Comparison::BySlots
+        let typical_work = self.typical_work_of(service);
+        let uneven = |a: &AgentEntry| {
+            self.loads.get(&a.process).is_some_and(|l| differs_in_speed(&l.report, typical_work))
+        };
+        // A long-lived flow can't be moved later, so it goes by speed before any target is full.
+        let comparison = match self.kinds.of(flow.route()) {
+            kind @ FlowKind::LongLived if open().any(uneven) => Comparison::ByTime(kind),
+            kind if open().any(full) => Comparison::ByTime(kind),
+            FlowKind::OneOff | FlowKind::LongLived => Comparison::BySlots,
         };
         let cost = |a: &&AgentEntry| (self.cost(a, comparison, now), flow.score(a.process.0));
         let best = open()
--- a/crates/dillmill-core/src/flow/target_cost.rs
+++ b/crates/dillmill-core/src/flow/target_cost.rs
@@ -29,7 +29,8 @@
     /// By slots in use, as each target has a free one. Only a target that takes twice the typical time
     /// counts as slower.
     BySlots,
-    /// By expected time, as some target has no free slot.
+    /// By expected time: some target has no free slot, or a long-lived flow meets targets of different
+    /// speeds.
     ByTime(FlowKind),
 }
 
@@ -38,6 +39,12 @@
     report.slots.0 > 0 && requests(report, sent) >= u32::from(report.slots.0)
 }
 
+/// Returns whether a target is notably slower or faster than is typical of its service.
+pub(super) fn differs_in_speed(report: &LoadReport, typical_work: Duration) -> bool {
+    let work = report.pace.work;
+    !work.is_zero() && !NOTABLE_SPEED.contains(&thousandths(work, typical_work))
+}
+
 fn requests(report: &LoadReport, sent: u32) -> u32 {
     let present = u32::from(report.in_use) + u32::from(report.queued);
     present + report.detail.waiting_total() + sent
