fix(core): one quick answer does not double a target's service time

Cause: the usual deviation of a target's answers took the value of the first answer compared, so a single answer in at most 0.58 of the usual time, or in 1.72 of it, counted as a change of speed in the opposite direction: after eight answers of 40 ms, one of 20 ms gave an estimate of 61.5 ms, one of 80 ms gave 34.7 ms.

Change: the average of the usual deviation starts with the window of the recent deviation, so both begin alike.

Result: 37.5 and 45 ms in the same cases.

--- a/crates/dillmill-core/src/target/target_speed.rs
+++ b/crates/dillmill-core/src/target/target_speed.rs
@@ -16,7 +16,8 @@
 /// about ten answers.
 const RECENT_WINDOW: f64 = 8.0;
 /// Answers over which the usual deviation is averaged. It is below zero, as a logarithm weighs requests
-/// that take long less than the mean does.
+/// that take long less than the mean does. The window grows from the recent one to this, because the
+/// first answer alone tells nothing of what is usual.
 const BIAS_WINDOW: f64 = 256.0;
 /// Mean deviation, as a factor, from which the speed is taken to have changed: 3.4 standard deviations
 /// of the recent deviation where the logarithms of times vary by half. A smaller change is averaged in.
@@ -63,7 +64,7 @@
             window: STEADY_WINDOW,
             deviation: 0.0,
             bias: 0.0,
-            bias_window: 1.0,
+            bias_window: RECENT_WINDOW,
             answers: 0,
             mix: INITIAL_SERVICE_TIME.as_secs_f64(),
         }
--- a/crates/dillmill-core/tests/target_speeds.rs
+++ b/crates/dillmill-core/tests/target_speeds.rs
@@ -10,6 +10,7 @@
 use dillmill_core::{FlowTuple, Segment, SegmentKind, Timestamp};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use rstest::rstest;
 
 const WORK: f64 = 0.047;
 /// Times of slow and fast targets, as multiples of the nominal time.
@@ -77,6 +78,18 @@
     }
 }
 
+/// A single answer in half the usual time, or twice, is no change of speed. The usual deviation started at
+/// that of the first answer, so that one quick answer made the target count as 1.5 times slower.
+#[rstest]
+fn one_answer_is_no_change(#[values(20, 22, 60, 80)] ms: u64) {
+    let mut target = TargetSpeed::default();
+    (0..8).for_each(|_| target.note(route(443), Duration::from_millis(40)));
+    target.note(route(443), Duration::from_millis(ms));
+    let work = target.work().as_millis();
+    assert_eq!(ms < 40, work < 40, "{work} ms");
+    assert!((35..=45).contains(&work), "{work} ms");
+}
+
 /// Long requests of one route must not make the target look slow for another: with a plain mean, the
 /// estimate follows whichever route was answered last.
 #[test]
