test(core): a dead agent in load_sharing sends and serves nothing

Cause of the lost packet, by a trace of flow 1152: the test's dead agent still ran its timer. It sent load reports every 100 ms, so the agent that had passed the packet on took it as alive and sent both copies (200 and 600 ms) after it. The real agent reports from the process that died, and its last report counts for 150 ms, so at most one copy follows. The dead agent also served its queue, which counted packets as opened that were lost.

Change: a dead agent's timer does nothing. The test kills each of the twelve agents in turn instead of agent 7. Its load before the death is 1.5 of all slots instead of 1.3, as with the measured service time the queues are so even that agent 7 had none at 1.3; each case asserts that packets wait at the agent.

--- a/crates/dillmill-core/tests/load_sharing/main.rs
+++ b/crates/dillmill-core/tests/load_sharing/main.rs
@@ -61,16 +61,17 @@
     assert_eq!((world.totals.exchanges, world.totals.moved), (0, 0));
 }
 
-/// A packet that was moved to an agent that dies is placed again when its caller sends a copy.
-#[test]
-fn packets_survive_dead_sibling() {
+/// A packet that was moved to an agent that dies is placed again when its caller sends a copy. Copies must
+/// not follow it to the dead agent for longer than its last report counts.
+#[rstest]
+fn packets_survive_dead_sibling(#[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)] dead: usize) {
     let mut world = World::new(12, true);
-    world.demand(1.3, Duration::ZERO, Duration::from_millis(400), 3);
+    world.demand(1.5, Duration::ZERO, Duration::from_millis(400), 3);
     world.demand(0.5, Duration::from_millis(400), Duration::from_secs(2), 3);
     world.run(Duration::from_millis(300));
     assert!(world.totals.moved > 0);
-    world.agents[7].dead = true;
-    assert!(world.agents[7].gate.waiting() > 0);
+    assert!(world.agents[dead].gate.waiting() > 0);
+    world.agents[dead].dead = true;
     world.run(Duration::from_secs(5));
     assert_eq!(world.lost(), 0, "{:?}", world.totals);
 }
--- a/crates/dillmill-core/tests/load_sharing/world.rs
+++ b/crates/dillmill-core/tests/load_sharing/world.rs
@@ -268,7 +268,7 @@
                 }
                 self.move_waiting(at);
             }
-            Event::Tick { at } => {
+            Event::Tick { at } if !self.agents[at].dead => {
                 self.schedule(TICK, Event::Tick { at });
                 let agent = &mut self.agents[at];
                 agent.queue_sum += agent.gate.waiting();
