fix(core): a moved packet takes its turn and opens no flow twice

Causes, both found by reading and shown by tests that failed first: * With several priorities, a moved packet that could be in time was given to a full target at once. It went ahead of the packets that waited there, and filled the target's own queue, which ignores priority. A packet that arrives from a balancer waits in this case. * A moved packet could reach an agent that had meanwhile served a copy of it. The agent then recorded the flow as opening again and no longer knew that it was open, so the caller's next packets started a search.

Change: both kinds of arrival share the test whether a packet must wait. A moved packet of a flow that the target has is dropped.

--- a/crates/dillmill-core/src/flow/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/opening.rs
@@ -42,14 +42,8 @@
         let cold = !self.cold.room(now);
         let crowded = self.opens.any_urgent(now);
         if requests >= u32::from(self.slots) || crowded || cold {
-            // Packets that wait for their turn would be queued at the target otherwise.
-            let ordered = terms.policy.priority_order;
-            let waiting =
-                if ordered { u32::try_from(self.waiting()).unwrap_or(u32::MAX) } else { 0 };
-            let late = cold
-                || crowded
-                || !terms.in_time(self.work_of(requests.saturating_add(waiting) + 1), now);
-            let wait = late || (ordered && !self.may_pass_queue(requests));
+            let late = cold || crowded || self.would_be_late(&terms, requests, now);
+            let wait = late || self.must_queue(&terms, requests);
             let reason = match (cold, late) {
                 (true, _) => PassReason::Cold,
                 (false, true) => PassReason::Crowded,
@@ -77,6 +71,20 @@
         self.deliver_open(seg, env, copies, passed, now)
     }
 
+    /// Returns whether a packet would be answered late here, at a full target with `requests`.
+    pub(super) fn would_be_late(&self, terms: &WaitTerms, requests: u32, now: Timestamp) -> bool {
+        // Packets that wait for their turn would be queued at the target otherwise.
+        let ordered = terms.policy.priority_order;
+        let waiting = if ordered { u32::try_from(self.waiting()).unwrap_or(u32::MAX) } else { 0 };
+        !terms.in_time(self.work_of(requests.saturating_add(waiting).saturating_add(1)), now)
+    }
+
+    /// Returns whether a packet must wait for its turn at a full target with `requests`, although its
+    /// answer can be in time.
+    pub(super) fn must_queue(&self, terms: &WaitTerms, requests: u32) -> bool {
+        terms.policy.priority_order && !self.may_pass_queue(requests)
+    }
+
     /// Decides on an opening packet whose turn in the queue has come.
     pub(super) fn place_waiting(&mut self, arrival: Arrival<'_>, copies: u32) -> Verdict {
         let Arrival { seg, env, now, .. } = arrival;
--- a/crates/dillmill-core/src/flow/flow_gate/sharing.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/sharing.rs
@@ -94,12 +94,16 @@
         if let Some(verdict) = self.redirect_or_refuse(arrival, holder) {
             return verdict;
         }
-        let terms = self.wait_terms(arrival, copies);
-        let terms = terms.waited(age(env), now);
+        if self.flows.knows(&seg.flow) {
+            // A copy of the packet has come here another way. The target has the flow already.
+            return Verdict::Drop;
+        }
+        let terms = self.wait_terms(arrival, copies).waited(age(env), now);
         let requests = self.load(now).requests;
         let full = requests >= u32::from(self.slots);
-        let in_time = terms.in_time(self.work_of(requests + 1), now);
-        if self.opens.any_urgent(now) || !self.cold.room(now) || (full && !in_time) {
+        let queues = full
+            && (self.would_be_late(&terms, requests, now) || self.must_queue(&terms, requests));
+        if queues || self.opens.any_urgent(now) || !self.cold.room(now) {
             let tell = balancer_to_notify(env, holder);
             return Verdict::Wait { terms, envelope: env.clone(), tell };
         }
--- a/crates/dillmill-core/tests/load_sharing/main.rs
+++ b/crates/dillmill-core/tests/load_sharing/main.rs
@@ -142,6 +142,43 @@
     assert_eq!((envelope.purpose, tell), (moved, Some(addr(200, 7000))));
 }
 
+/// A moved packet at a full target must not go ahead of the packets that wait there, nor fill the target's own
+/// queue, if the target serves several priorities.
+#[rstest]
+fn moved_packet_takes_turn(#[values(false, true)] mixed: bool) {
+    let mut world = World::new(2, true);
+    if mixed {
+        world.add_low_priority_route();
+    }
+    for n in 1..=3 {
+        let passed_on = PacketPurpose::Place { passed: vec![process(1)] };
+        assert!(matches!(open(&mut world, n, 0, passed_on), Verdict::Deliver { .. }));
+    }
+    let moved = PacketPurpose::Moved { passed: vec![process(1)], waited_ms: 10 };
+    let verdict = open(&mut world, 4, 0, moved);
+    assert_eq!(matches!(verdict, Verdict::Wait { .. }), mixed, "{verdict:?}");
+}
+
+/// A packet that is moved to an agent which has served a copy of it must not open the flow again: the agent
+/// would no longer find the flow that is open at its target.
+#[rstest]
+#[case::moved_at_once(10)]
+#[case::moved_late(500)]
+fn moved_packet_of_open_flow(#[case] waited_ms: u32) {
+    let mut world = World::new(2, true);
+    for n in 1..=2 {
+        open(&mut world, n, 0, place());
+        let now = world.now;
+        world.agents[0].gate.answered(&segment(n, SegmentKind::Accept, 0), now);
+        world.arrived(0, &segment(n, SegmentKind::Data, 100), &envelope(PacketPurpose::Deliver));
+    }
+    let moved = PacketPurpose::Moved { passed: vec![process(1)], waited_ms };
+    assert_eq!(open(&mut world, 1, 0, moved), Verdict::Drop);
+    let data = segment(1, SegmentKind::Data, 100);
+    let verdict = world.arrived(0, &data, &envelope(PacketPurpose::Deliver));
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
+
 /// A copy that reaches the former agent, before the balancer knows the new one, must not open the flow a
 /// second time. If the new agent is no longer heard of, the copy is the caller's only way to a target.
 #[rstest]
--- a/crates/dillmill-core/tests/load_sharing/world.rs
+++ b/crates/dillmill-core/tests/load_sharing/world.rs
@@ -11,8 +11,8 @@
 use dillmill_core::target_runs::Predecessor;
 use dillmill_core::{
     AgentTable, Envelope, ExchangeRounds, FlowGate, FlowTuple, Member, OverloadPolicy,
-    PacketPurpose, ProcessId, Revision, Role, RouteEntry, RouteTable, Segment, SegmentKind,
-    ServiceTag, SiblingLoads, Timestamp, Weight,
+    PacketPurpose, Priority, ProcessId, Revision, Role, RouteEntry, RouteTable, Segment,
+    SegmentKind, ServiceTag, SiblingLoads, Timestamp, Weight,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -29,6 +29,16 @@
     SocketAddrV4::new([10, 0, 0, u8::try_from(n).unwrap()].into(), port)
 }
 
+fn entry(load_sharing: bool) -> RouteEntry {
+    RouteEntry {
+        shares: vec![(service(), Weight(1))],
+        latency_aim: Some(Duration::from_millis(250)),
+        timeout: Some(Duration::from_millis(4200)),
+        overload: OverloadPolicy { load_sharing, ..OverloadPolicy::default() },
+        ..RouteEntry::default()
+    }
+}
+
 fn route() -> SocketAddrV4 {
     SocketAddrV4::new([198, 18, 0, 1].into(), 443)
 }
@@ -147,14 +157,6 @@
             )
         };
         let members: Vec<Member> = (0..agents).map(member).collect();
-        let overload = OverloadPolicy { load_sharing: sharing, ..OverloadPolicy::default() };
-        let entry = RouteEntry {
-            shares: vec![(service(), Weight(1))],
-            latency_aim: Some(Duration::from_millis(250)),
-            timeout: Some(Duration::from_millis(4200)),
-            overload,
-            ..RouteEntry::default()
-        };
         let agent = |n: usize| {
             let mut gate = FlowGate::new(process(n), addr(n, 7001), service(), START);
             gate.new_target(service(), Predecessor::Unsure, START);
@@ -173,7 +175,7 @@
             agents: (0..agents).map(agent).collect(),
             table: AgentTable::new(&members, &"zone-1".parse().unwrap()),
             members,
-            routes: RouteTable::new(Revision(1), [(route(), entry)]),
+            routes: RouteTable::new(Revision(1), [(route(), entry(sharing))]),
             events: BinaryHeap::new(),
             scheduled: 0,
             envelopes: HashMap::new(),
@@ -192,6 +194,14 @@
         world
     }
 
+    /// Adds a route of a lower priority to the service.
+    pub(crate) fn add_low_priority_route(&mut self) {
+        let low = RouteEntry { priority: Priority::LOWEST, ..entry(true) };
+        let other = SocketAddrV4::new(*route().ip(), 444);
+        let high = RouteEntry { priority: Priority(1), ..entry(true) };
+        self.routes = RouteTable::new(Revision(1), [(route(), high), (other, low)]);
+    }
+
     pub(crate) fn schedule(&mut self, after: Duration, event: Event) -> u32 {
         self.scheduled += 1;
         self.events.push(Reverse((self.now + after, self.scheduled, event)));
