--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -41,6 +41,7 @@
 use crate::{Envelope, FlowTuple, PRIORITY_CLASSES, Timestamp};
 
 mod following;
+mod moving;
 mod serving_order;
 mod wait_terms;
 
@@ -292,23 +293,6 @@
         lost
     }
 
-    /// Removes and returns the next opening packet to be served elsewhere, where it is `ahead` of being
-    /// answered: the most urgent of those that are `movable`, in the order of [`OpenQueue::take`]. A
-    /// packet whose caller has probably given up is not worth moving.
-    pub fn take_movable(
-        &mut self,
-        ahead: Duration,
-        now: Timestamp,
-        movable: impl Fn(&WaitingOpen) -> bool,
-    ) -> Option<WaitingOpen> {
-        let all = self.waiting.iter().enumerate();
-        let opens = all.filter(|(_, open)| !open.terms.open_flow && movable(open));
-        let ranked = opens.map(|(i, open)| (self.rank(open, ahead, now), i));
-        let worth_moving = ranked.filter(|(rank, _)| !matches!(rank, Rank::Abandoned(_)));
-        let (_, i) = worth_moving.min()?;
-        Some(self.waiting.swap_remove(i))
-    }
-
     /// Returns any one of the queued packets.
     #[must_use]
     pub fn first(&self) -> Option<&WaitingOpen> {
