--- a/crates/dillmill-core/tests/load_sharing/agents.rs
+++ b/crates/dillmill-core/tests/load_sharing/agents.rs
@@ -7,7 +7,8 @@
 use dillmill_core::{Envelope, Segment, SegmentKind, Slots};
 use rand::Rng;
 
-use crate::world::{Event, SLOTS, TRANSIT, WORK_MS, World, number, process, segment, service};
+use crate::packets::{number, process, segment, service};
+use crate::world::{Event, SLOTS, TRANSIT, WORK_MS, World};
 
 impl World {
     pub(crate) fn arrived(&mut self, at: usize, seg: &Segment, env: &Envelope) -> Verdict {
--- a/crates/dillmill-core/tests/load_sharing/main.rs
+++ b/crates/dillmill-core/tests/load_sharing/main.rs
@@ -9,9 +9,11 @@
 use dillmill_core::{AgentLoad, AgentTable, PacketPurpose, SegmentKind, SiblingLoads, TargetPace};
 use rstest::rstest;
 
-use world::{Event, SLOTS, START, Totals, World, addr, envelope, process, segment, service};
+use packets::{addr, envelope, process, segment, service};
+use world::{Event, SLOTS, START, Totals, World};
 
 mod agents;
+mod packets;
 mod world;
 
 /// Nine agents with free capacity take the surplus of three. Agents that act on outdated reports, or that
