--- a/crates/dillmill-core/tests/load_sharing/world.rs
+++ b/crates/dillmill-core/tests/load_sharing/world.rs
@@ -10,57 +10,20 @@
 use dillmill_core::placement::LoadReport;
 use dillmill_core::target_runs::Predecessor;
 use dillmill_core::{
-    AgentTable, Envelope, ExchangeRounds, FlowGate, FlowTuple, Member, OverloadPolicy,
-    PacketPurpose, ProcessId, Revision, Role, RouteEntry, RouteTable, Segment, SegmentKind,
-    ServiceTag, SiblingLoads, Timestamp, Weight,
+    AgentTable, Envelope, ExchangeRounds, FlowGate, Member, PacketPurpose, Priority, Revision,
+    Role, RouteEntry, RouteTable, Segment, SegmentKind, SiblingLoads, Timestamp, Weight,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::packets::{OBJECTIVE, addr, entry, envelope, number, process, route, segment, service};
+
 pub(crate) const START: Timestamp = Timestamp::from_millis(1_000_000);
 pub(crate) const TRANSIT: Duration = Duration::from_millis(1);
 const TICK: Duration = Duration::from_millis(100);
 pub(crate) const SLOTS: u16 = 2;
 pub(crate) const WORK_MS: u32 = 29;
 const ATTEMPT: Duration = Duration::from_millis(1400);
-const TARGET_SEQ: u32 = 5000;
-
-pub(crate) fn addr(n: usize, port: u16) -> SocketAddrV4 {
-    SocketAddrV4::new([10, 0, 0, u8::try_from(n).unwrap()].into(), port)
-}
-
-fn route() -> SocketAddrV4 {
-    SocketAddrV4::new([198, 18, 0, 1].into(), 443)
-}
-
-pub(crate) fn service() -> ServiceTag {
-    ServiceTag::from(&"orders".parse().unwrap())
-}
-
-pub(crate) fn process(n: usize) -> ProcessId {
-    ProcessId(u64::try_from(n).unwrap())
-}
-
-fn flow(n: u32) -> FlowTuple {
-    FlowTuple::new(SocketAddrV4::new((0x6440_0000 + n).into(), 5000), route())
-}
-
-pub(crate) fn number(flow: &FlowTuple) -> u32 {
-    u32::from(*flow.caller().ip()) - 0x6440_0000
-}
-
-pub(crate) fn segment(n: u32, kind: SegmentKind, len: u16) -> Segment {
-    let (seq, ack) = match kind {
-        SegmentKind::Open { .. } => (1, 0),
-        SegmentKind::Accept => (TARGET_SEQ, 2),
-        _ => (TARGET_SEQ + 1, TARGET_SEQ + 1),
-    };
-    Segment { flow: flow(n), kind, seq, ack, len, returned: false, mark: 0 }
-}
-
-pub(crate) fn envelope(purpose: PacketPurpose) -> Envelope {
-    Envelope { service: service(), revision: Revision(1), origin: addr(200, 7000), purpose }
-}
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Event {
@@ -112,6 +75,8 @@
     pub(crate) passes: u32,
     pub(crate) moved: u32,
     pub(crate) exchanges: u32,
+    /// Answers within the objective of the route.
+    pub(crate) in_time: u32,
 }
 
 pub(crate) struct World {
@@ -147,14 +112,6 @@
             )
         };
         let members: Vec<Member> = (0..agents).map(member).collect();
-        let overload = OverloadPolicy { load_sharing: sharing, ..OverloadPolicy::default() };
-        let entry = RouteEntry {
-            shares: vec![(service(), Weight(1))],
-            latency_aim: Some(Duration::from_millis(250)),
-            timeout: Some(Duration::from_millis(4200)),
-            overload,
-            ..RouteEntry::default()
-        };
         let agent = |n: usize| {
             let mut gate = FlowGate::new(process(n), addr(n, 7001), service(), START);
             gate.new_target(service(), Predecessor::Unsure, START);
@@ -173,7 +130,7 @@
             agents: (0..agents).map(agent).collect(),
             table: AgentTable::new(&members, &"zone-1".parse().unwrap()),
             members,
-            routes: RouteTable::new(Revision(1), [(route(), entry)]),
+            routes: RouteTable::new(Revision(1), [(route(), entry(sharing))]),
             events: BinaryHeap::new(),
             scheduled: 0,
             envelopes: HashMap::new(),
@@ -192,6 +149,14 @@
         world
     }
 
+    /// Adds a route of a lower priority to the service.
+    pub(crate) fn add_low_priority_route(&mut self) {
+        let low = RouteEntry { priority: Priority::LOWEST, ..entry(true) };
+        let other = SocketAddrV4::new(*route().ip(), 444);
+        let high = RouteEntry { priority: Priority(1), ..entry(true) };
+        self.routes = RouteTable::new(Revision(1), [(route(), high), (other, low)]);
+    }
+
     pub(crate) fn schedule(&mut self, after: Duration, event: Event) -> u32 {
         self.scheduled += 1;
         self.events.push(Reverse((self.now + after, self.scheduled, event)));
@@ -255,6 +220,8 @@
             }
             Event::Answer { n, at } if !self.agents[at].dead => {
                 self.agents[at].running -= 1;
+                let in_time = now.since(self.opened[&n].0) + TRANSIT <= OBJECTIVE;
+                self.totals.in_time += u32::from(in_time);
                 self.agents[at].gate.answered(&segment(n, SegmentKind::Data, 100), now);
                 self.agents[at].gate.answered(&segment(n, SegmentKind::Finish, 0), now);
                 self.work(at);
