feat(core): last chances save up turns for a short overload

Last chances had a constant 25 % of the turns for which packets compete that can be answered in time. That is too little for a short overload, whose overtaken requests are served afterwards, and too much for a lasting one, where each last chance makes another request late.

Now each turn earns 0.15 of a turn, up to 50 turns are saved up, and a last chance takes at most every second turn.

--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -22,9 +22,9 @@
 //! 3. Late packets, by priority, oldest first within one priority.
 //! 4. Packets whose callers have probably given up.
 //!
-//! While packets of 2 wait, last chances get only a share of the turns. Under a lasting overload
-//! every surplus request comes to its last chance, and would take the turn of one that can be in
-//! time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the
+//! While packets of 2 wait, last chances get only a share of the turns, which they may save up for a
+//! short overload. Under a lasting one every surplus request comes to its last chance, and would
+//! take the turn of one that can be in time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the
 //! first of all. Priority applies only within each class: late packets ahead of others that can be
 //! in time would make those late as well.
 //!
@@ -41,12 +41,14 @@
 use crate::{Envelope, FlowTuple, PRIORITY_CLASSES, Timestamp};
 
 mod following;
+mod last_chance_turns;
 mod serving_order;
 mod wait_terms;
 
 use following::FollowingPackets;
+use last_chance_turns::LastChanceTurns;
 pub use serving_order::TakeReason;
-use serving_order::{LAST_CHANCE_SHARE, Rank, TurnShare};
+use serving_order::{Rank, TurnShare};
 use wait_terms::WaitState;
 pub use wait_terms::{WaitTerms, wait_limit, waiting_since};
 
@@ -77,7 +79,7 @@
     estimators: HashMap<SocketAddrV4, AttemptTimeoutEstimator>,
     following: FollowingPackets,
     low_priority: TurnShare,
-    last_chance: TurnShare,
+    last_chance: LastChanceTurns,
     taken: [u64; TakeReason::ALL.len()],
     last_taken: Option<TakeReason>,
 }
@@ -92,7 +94,7 @@
             estimators: HashMap::new(),
             following: FollowingPackets::default(),
             low_priority: TurnShare::default(),
-            last_chance: TurnShare::default(),
+            last_chance: LastChanceTurns::default(),
             taken: [0; TakeReason::ALL.len()],
             last_taken: None,
         }
@@ -233,9 +235,10 @@
             such.min_by_key(|(_, rank)| *rank)
         };
         let mut head = first(&|_| true)?;
+        self.last_chance.earn();
         if matches!(head.1, Rank::LastChance(_))
             && let Some(in_time) = first(&|rank| matches!(rank, Rank::InTime(..)))
-            && !self.last_chance.next(LAST_CHANCE_SHARE)
+            && !self.last_chance.next()
         {
             head = in_time;
         }
--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -13,11 +13,6 @@
 /// The last chance is at most this fraction of a route's timeout. Otherwise most requests of routes
 /// with a short timeout would go ahead of higher priorities.
 const LAST_CHANCE_DIVISOR: u32 = 4;
-/// Share of the turns that last chances get while packets wait that can be answered in time: the
-/// surplus of requests at 1.25 times the slots, the highest lasting load that is required. With all
-/// turns, a lasting load of 1.2 would leave the target to requests that have waited for nearly their
-/// whole timeout, ahead of higher priorities.
-pub(super) const LAST_CHANCE_SHARE: Percent = Percent(25);
 /// Turns are counted in hundredths, as their share is a percentage.
 const WHOLE_TURN: u32 = 100;
 
