feat(core): requests that can be in time are served by the time they have left

Within a priority, the newest request went first among those that can be in time. The one with the least time left now goes first, within each priority.

Tried and left out: a request of lower priority goes first while all waiting ones of the highest priority would stay in time, with a reserve.

--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -18,7 +18,8 @@
 //!
 //! 1. The urgent packets above, then packets of which little of the request's whole timeout
 //!    remains, oldest first.
-//! 2. Packets that can still be answered in time, by priority, newest first within one priority.
+//! 2. Packets that can still be answered in time, by priority; within one priority, those that have
+//!    the least time left for it.
 //! 3. Late packets, by priority, oldest first within one priority.
 //! 4. Packets whose callers have probably given up.
 //!
--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -67,8 +67,9 @@
     Urgent(Timestamp),
     /// Little of the request's whole timeout remains; oldest first.
     LastChance(Timestamp),
-    /// The answer can be in time; newest first within one priority.
-    InTime(Priority, Reverse<Timestamp>),
+    /// The answer can be in time, until this time; earliest first within one priority. Newest first,
+    /// a request that is overtaken a few times in a short burst becomes late.
+    InTime(Priority, Timestamp),
     /// The answer will be late; oldest first within one priority.
     Late(Priority, Timestamp),
     /// The caller has given up, or can get no answer before it does; newest first.
@@ -96,7 +97,7 @@
         } else if left < last_chance && ahead <= left {
             Self::LastChance(terms.since)
         } else if terms.answered_in_time(ahead, now) {
-            Self::InTime(terms.effective_priority(), Reverse(terms.since))
+            Self::InTime(terms.effective_priority(), terms.since + terms.answer_limit)
         } else {
             Self::Late(terms.effective_priority(), terms.since)
         }
