--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -13,11 +13,6 @@
 /// The last chance is at most this fraction of a route's timeout. Otherwise most requests of routes
 /// with a short timeout would go ahead of higher priorities.
 const LAST_CHANCE_DIVISOR: u32 = 4;
-/// Share of the turns that last chances get while packets wait that can be answered in time: the
-/// surplus of requests at 1.25 times the slots, the highest lasting load that is required. With all
-/// turns, a lasting load of 1.2 would leave the target to requests that have waited for nearly their
-/// whole timeout, ahead of higher priorities.
-pub(super) const LAST_CHANCE_SHARE: Percent = Percent(25);
 /// Turns are counted in hundredths, as their share is a percentage.
 const WHOLE_TURN: u32 = 100;
 
@@ -72,8 +67,9 @@
     Urgent(Timestamp),
     /// Little of the request's whole timeout remains; oldest first.
     LastChance(Timestamp),
-    /// The answer can be in time; newest first within one priority.
-    InTime(Priority, Reverse<Timestamp>),
+    /// The answer can be in time, until this time; earliest first within one priority. Newest first,
+    /// a request that is overtaken a few times in a short burst becomes late.
+    InTime(Priority, Timestamp),
     /// The answer will be late; oldest first within one priority.
     Late(Priority, Timestamp),
     /// The caller has given up, or can get no answer before it does; newest first.
@@ -100,8 +96,8 @@
             Self::Urgent(terms.since + attempt_timeout)
         } else if left < last_chance && ahead <= left {
             Self::LastChance(terms.since)
-        } else if terms.in_time(ahead, now) {
-            Self::InTime(terms.effective_priority(), Reverse(terms.since))
+        } else if terms.answered_in_time(ahead, now) {
+            Self::InTime(terms.effective_priority(), terms.since + terms.answer_limit)
         } else {
             Self::Late(terms.effective_priority(), terms.since)
         }
