feat(ctl): explain reads decisions under overload

The turn of a waiting packet, moves and passes to siblings with both waits, and refusals by admission control are shown with their values.

--- a/crates/dillmillctl/src/explain.rs
+++ b/crates/dillmillctl/src/explain.rs
@@ -4,6 +4,7 @@
 mod flow_path;
 mod flow_report;
 mod gaps;
+mod overload_decision;
 mod plot;
 mod process_vms;
 mod second;
@@ -11,6 +12,7 @@
 mod span_page;
 mod span_report;
 mod span_tally;
+mod turn_reason;
 
 pub(crate) use flow_path::FlowPath;
 pub(crate) use span::Span;
--- a/crates/dillmillctl/src/explain/flow_end.rs
+++ b/crates/dillmillctl/src/explain/flow_end.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+use super::overload_decision::OverloadDecision;
+use super::turn_reason::TurnReason;
+
 /// How a flow ended, as far as it is logged. Causes have their numbers replaced by `N`.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum FlowEnd {
@@ -9,6 +12,8 @@
     Reset(String),
     /// It was refused or dropped; holds the cause.
     Refused(String),
+    /// Admission control refused it; holds the kind of the refusal.
+    RefusedForOverload(String),
     /// Its target reset it.
     ResetByTarget,
     /// Its last packet waits at an agent or a balancer.
@@ -24,6 +29,17 @@
 impl FlowEnd {
     /// Returns the end of a flow whose last logged decision is `decided`.
     pub(crate) fn of(decided: &str, cause: &str) -> Self {
+        let taken = |reason| match reason {
+            TurnReason::Next(_) => Self::AtTarget,
+            TurnReason::NoNewFlows => Self::InTransit,
+        };
+        match OverloadDecision::parse(decided, cause) {
+            Some(OverloadDecision::Taken { reason, .. }) => return taken(reason),
+            Some(refusal) if refusal.is_refusal() => {
+                return Self::RefusedForOverload(refusal.label());
+            }
+            _ => {}
+        }
         let first_word = decided.split(' ').next().unwrap_or_default();
         match (first_word, decided) {
             ("reset", "reset passed on") => Self::ResetByTarget,
@@ -42,13 +58,19 @@
     /// refused.
     pub(crate) fn takes_precedence_over(&self, later: &Self) -> bool {
         let is_relayed = |cause: &String| cause.starts_with("refused behind");
-        matches!((self, later), (Self::Refused(_), Self::Reset(cause)) if is_relayed(cause))
+        match (self, later) {
+            (Self::Refused(_) | Self::RefusedForOverload(_), Self::Reset(cause)) => {
+                is_relayed(cause)
+            }
+            _ => false,
+        }
     }
 
     /// Returns the title of the section of docs/OPERATIONS.md that covers this end.
     pub(crate) fn page(&self) -> &'static str {
         match self {
             Self::Refused(_) => "1. A new flow is refused",
+            Self::RefusedForOverload(_) => "4. Decisions under overload",
             Self::Reset(_) | Self::Missing | Self::ResetByTarget | Self::InTransit => {
                 "2. An open flow ends without an answer"
             }
@@ -62,6 +84,7 @@
         match self {
             Self::Reset(why) => write!(f, "reset: {why}"),
             Self::Refused(why) => write!(f, "refused: {why}"),
+            Self::RefusedForOverload(label) => f.write_str(label),
             Self::ResetByTarget => f.write_str("reset by its target"),
             Self::Waits => f.write_str("waits"),
             Self::Missing => f.write_str("nobody holds it, its caller was not told"),
--- a/crates/dillmillctl/src/explain/flow_path.rs
+++ b/crates/dillmillctl/src/explain/flow_path.rs
@@ -7,6 +7,7 @@
 use super::flow_end::FlowEnd;
 use super::flow_report::{FlowDecision, FlowReport};
 use super::gaps::Gaps;
+use super::overload_decision::OverloadDecision;
 use super::process_vms::ProcessVms;
 use crate::logs::{LogLine, LogTime, UnreadableLines};
 
@@ -113,6 +114,7 @@
             decided: step.decided.clone(),
             placed_on: step.placed_at().and_then(|process| self.vms.vm(process)).map(str::to_owned),
             cause: step.cause.clone(),
+            overload: OverloadDecision::parse(&step.decided, &step.cause),
         }
     }
 }
--- a/crates/dillmillctl/src/explain/flow_report.rs
+++ b/crates/dillmillctl/src/explain/flow_report.rs
@@ -4,6 +4,11 @@
 
 use serde::Serialize;
 
+use super::overload_decision::OverloadDecision;
+
+/// Column of what a decision means, that of the decision above it.
+const MEANING_INDENT: usize = 47;
+
 /// The path of a flow and its end, printed as text or JSON.
 #[derive(Debug, Serialize)]
 pub(crate) struct FlowReport {
@@ -26,6 +31,8 @@
     /// VM of the process at which this decision placed the flow.
     pub(super) placed_on: Option<String>,
     pub(super) cause: String,
+    /// The values of a decision under overload.
+    pub(super) overload: Option<OverloadDecision>,
 }
 
 impl fmt::Display for FlowReport {
@@ -45,6 +52,12 @@
         if let Some(vm) = &self.placed_on {
             write!(f, " on {vm}")?;
         }
-        if self.cause.is_empty() { Ok(()) } else { write!(f, " ({})", self.cause) }
+        if !self.cause.is_empty() {
+            write!(f, " ({})", self.cause)?;
+        }
+        match &self.overload {
+            Some(overload) => write!(f, "\n{:>MEANING_INDENT$}{overload}", ""),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/dillmillctl/src/explain/second.rs
+++ b/crates/dillmillctl/src/explain/second.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Second {
     pub(super) placed: u64,
     pub(super) waits: u64,
+    pub(super) taken: u64,
+    pub(super) moved: u64,
     pub(super) refused: u64,
     pub(super) reset: u64,
     pub(super) missing: u64,
@@ -20,6 +22,8 @@
         let counter = match decided.split(' ').next() {
             Some("placed") => &mut self.placed,
             Some("waits") => &mut self.waits,
+            Some("taken") => &mut self.taken,
+            Some("moved") => &mut self.moved,
             Some("refused") => &mut self.refused,
             Some("reset") if decided != "reset held back" => &mut self.reset,
             Some("missing") => &mut self.missing,
--- a/crates/dillmillctl/src/explain/span_page.rs
+++ b/crates/dillmillctl/src/explain/span_page.rs
@@ -6,6 +6,8 @@
 const DECISIONS: &[Series] = &[
     ("placed", |second| second.placed),
     ("waits", |second| second.waits),
+    ("taken", |second| second.taken),
+    ("moved", |second| second.moved),
     ("refused", |second| second.refused),
     ("reset", |second| second.reset),
     ("missing", |second| second.missing),
--- a/crates/dillmillctl/src/explain/span_report.rs
+++ b/crates/dillmillctl/src/explain/span_report.rs
@@ -17,6 +17,8 @@
     pub(super) by_end: BTreeMap<String, u64>,
     pub(super) by_route: BTreeMap<String, BTreeMap<String, u64>>,
     pub(super) by_vm: BTreeMap<String, u64>,
+    /// Decisions under overload by kind.
+    pub(super) overload: BTreeMap<String, u64>,
     pub(super) seconds: BTreeMap<u64, Second>,
     pub(super) remarks: Vec<String>,
 }
@@ -32,12 +34,27 @@
         }
         writeln!(f, "\nVMs with refusals, resets, waits and lost flows")?;
         write_counts(f, &self.by_vm)?;
-        writeln!(f, "\n    second  placed   waits refused   reset missing members left out")?;
+        if !self.overload.is_empty() {
+            writeln!(f, "\ndecisions under overload")?;
+            write_counts(f, &self.overload)?;
+        }
+        writeln!(
+            f,
+            "\n    second  placed   waits   taken   moved refused   reset missing members left out"
+        )?;
         for (second, n) in &self.seconds {
             writeln!(
                 f,
-                "{second:>10} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}",
-                n.placed, n.waits, n.refused, n.reset, n.missing, n.members, n.left_out,
+                "{second:>10} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>8}",
+                n.placed,
+                n.waits,
+                n.taken,
+                n.moved,
+                n.refused,
+                n.reset,
+                n.missing,
+                n.members,
+                n.left_out,
             )?;
         }
         self.remarks.iter().try_for_each(|remark| writeln!(f, "note: {remark}"))
--- a/crates/dillmillctl/src/explain/span_tally.rs
+++ b/crates/dillmillctl/src/explain/span_tally.rs
@@ -6,6 +6,7 @@
 
 use super::flow_end::FlowEnd;
 use super::gaps::Gaps;
+use super::overload_decision::OverloadDecision;
 use super::second::Second;
 use super::span::Span;
 use super::span_report::SpanReport;
@@ -24,6 +25,7 @@
 pub(crate) struct SpanTally {
     span: Span,
     ends: HashMap<FlowTuple, FinalDecision>,
+    overload: BTreeMap<String, u64>,
     seconds: BTreeMap<u64, Second>,
     gaps: Gaps,
 }
@@ -31,7 +33,13 @@
 impl SpanTally {
     /// Creates an empty tally of `span`.
     pub(crate) fn new(span: Span) -> Self {
-        Self { span, ends: HashMap::new(), seconds: BTreeMap::new(), gaps: Gaps::default() }
+        Self {
+            span,
+            ends: HashMap::new(),
+            overload: BTreeMap::new(),
+            seconds: BTreeMap::new(),
+            gaps: Gaps::default(),
+        }
     }
 
     /// Adds a log line of any process; lines outside the span count only for the remarks on gaps.
@@ -47,6 +55,9 @@
         }
         let Some((flow, decided)) = line.flow_decision() else { return };
         second.count(decided);
+        if let Some(overload) = OverloadDecision::parse(decided, &line.cause) {
+            *self.overload.entry(overload.label()).or_default() += 1;
+        }
         self.update_end(flow, line, FlowEnd::of(decided, &line.cause));
     }
 
@@ -85,6 +96,7 @@
             by_end,
             by_route,
             by_vm,
+            overload: self.overload.clone(),
             seconds: self.seconds.clone(),
             remarks,
         }
