feat(ctl): load shows the load of a service's agents

Agents pass the load of their target to the control task, which adds it to the status of the process as a last field that earlier versions ignore, so that the verb needs no new message.

--- a/crates/dillmill-agent/src/admission.rs
+++ b/crates/dillmill-agent/src/admission.rs
@@ -13,6 +13,7 @@
 use dillmill_node::{NodeHandle, View, ViewReceiver, with_random_index};
 use dillmill_wire::Message;
 
+use crate::load_status::load_status;
 use crate::metrics::AgentMetrics;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -348,6 +349,7 @@
             return;
         }
         self.last_report = Some((report, now));
+        self.handle.put_load(load_status(&report));
         let mut to: Vec<RingMember> = self.sibling_addrs.clone();
         while to.len() > MAX_REPORT_RECIPIENTS {
             let i = with_random_index(|random_index| random_index(to.len()));
--- a/crates/dillmill-agent/src/lib.rs
+++ b/crates/dillmill-agent/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forwarding;
 pub mod inbound;
 pub mod ledger;
+mod load_status;
 pub mod metrics;
 pub mod quic_socket;
 pub mod request;
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -26,7 +26,7 @@
 };
 use dillmill_node::{NodeError, NodeHandle, View, ViewReceiver};
 use dillmill_platform::{EndpointCall, ProcessSettings};
-use dillmill_wire::FlowMessage;
+use dillmill_wire::{FlowMessage, LoadStatus};
 use futures_util::stream::{self, StreamExt};
 
 pub(crate) use announcement::Announcement;
@@ -113,6 +113,8 @@
     /// Time since when other processes may use this agent as a flow directory.
     directory_since: Timestamp,
     report_subscribers: HashMap<SocketAddrV4, ReportSubscriber>,
+    /// Load that the status of the process contains.
+    load_status: Option<LoadStatus>,
     exchanges: ExchangeRounds,
     siblings: SiblingLoads,
     runs: TargetRuns,
@@ -168,6 +170,7 @@
             catch_up: DirectoryCatchUp::default(),
             directory_since: now,
             report_subscribers: HashMap::new(),
+            load_status: None,
             exchanges: ExchangeRounds::default(),
             siblings: SiblingLoads::new(),
             runs: TargetRuns::new(settings.heartbeat_every),
--- a/crates/dillmill-flow/src/agent_task/reports.rs
+++ b/crates/dillmill-flow/src/agent_task/reports.rs
@@ -6,7 +6,7 @@
 use dillmill_core::flow_placement::REPORT_INTERVAL;
 use dillmill_core::placement::{LoadDetail, LoadReport};
 use dillmill_core::{Slots, Timestamp};
-use dillmill_wire::Message;
+use dillmill_wire::{LoadStatus, Message};
 
 use super::{AgentTask, ReportSubscriber};
 
@@ -60,6 +60,23 @@
         self.handle.send(balancer, Message::Load(report));
     }
 
+    /// Passes the load on for the status of the process, if it has changed.
+    fn put_status(&mut self, report: &LoadReport) {
+        let work = report.pace.work;
+        let status = LoadStatus {
+            slots: report.slots,
+            requests: u32::from(report.in_use) + u32::from(report.queued),
+            waiting: report.detail.waiting_total(),
+            waiting_by_class: Some(report.detail.waiting),
+            service_time_ms: (!work.is_zero()).then(|| whole_millis(work)),
+            flow_demand: report.detail.flow_demand,
+        };
+        if self.load_status.as_ref() != Some(&status) {
+            self.handle.put_load(status.clone());
+            self.load_status = Some(status);
+        }
+    }
+
     /// Updates the load gauges and sends the load reports that are due.
     pub(super) fn send_reports(&mut self, now: Timestamp) {
         let report = self.current_load(now);
@@ -72,9 +89,10 @@
             counter.inc_by(taken.saturating_sub(counter.get()));
         }
         self.handle.metrics.flows.set(i64::from(report.flows));
-        let work = i64::try_from(report.pace.work.as_millis()).unwrap_or(i64::MAX);
-        self.counters.service_time.set(work);
+        let work = whole_millis(report.pace.work);
+        self.counters.service_time.set(i64::try_from(work).unwrap_or(i64::MAX));
         self.counters.flow_demand.set(report.detail.flow_demand.map_or(0, i64::from));
+        self.put_status(&report);
         self.report_subscribers
             .retain(|_, subscriber| now.since(subscriber.last_new_flow) < SUBSCRIPTION_PERIOD);
         let due: Vec<SocketAddrV4> = self
@@ -93,3 +111,7 @@
         }
     }
 }
+
+fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -16,7 +16,7 @@
 };
 use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::stream::describe;
-use dillmill_wire::{FlowMessage, Message, ProcessStatus, Reply};
+use dillmill_wire::{FlowMessage, LoadStatus, Message, ProcessStatus, Reply};
 
 use crate::handle::{IncomingPeerRequest, NodeHandle, RoleChannels, with_random_index};
 use crate::views::ViewSender;
@@ -87,6 +87,8 @@
     pub(crate) announce_after: Timestamp,
     pub(crate) settings_source: SettingsSource,
     pub(crate) settled: bool,
+    /// Load of this agent's target, as last reported by the role.
+    pub(crate) load: Option<LoadStatus>,
 }
 
 impl Control {
@@ -122,6 +124,7 @@
             announce_after,
             settings_source,
             settled: false,
+            load: None,
         }
     }
 
@@ -180,6 +183,7 @@
                 self.apply_evacuations(&source, evacuations).await;
             }
             Input::EvacuationChanges(changes) => self.apply_evacuation_changes(&changes).await,
+            Input::Load(load) => self.load = Some(load),
             Input::UpdateMe(change) => {
                 self.announce_after = now;
                 self.membership.update_me(change);
@@ -299,6 +303,7 @@
                 .count()
                 .try_into()
                 .unwrap_or(u64::MAX),
+            load: self.load.clone(),
         }
     }
 
--- a/crates/dillmill-node/src/control/input.rs
+++ b/crates/dillmill-node/src/control/input.rs
@@ -5,7 +5,7 @@
 use dillmill_core::membership::StoredSize;
 use dillmill_core::{EvacuationChange, Evacuations, EventKind, Member, Timestamp};
 use dillmill_settings::{Change, RouteTree, Tree};
-use dillmill_wire::{Message, Reply, StreamMessage};
+use dillmill_wire::{LoadStatus, Message, Reply, StreamMessage};
 
 use crate::IncomingForward;
 use crate::handle::RoleChannels;
@@ -79,6 +79,8 @@
     },
     /// Changes of the evacuation orders, from the platform.
     EvacuationChanges(Vec<EvacuationChange>),
+    /// Load of this agent's target, which the status of the process contains.
+    Load(LoadStatus),
     /// Changes this process's own member record.
     UpdateMe(Box<dyn FnOnce(&mut Member) + Send>),
     /// The timer for the next view has expired; a view is published if something has changed.
--- a/crates/dillmill-node/src/handle.rs
+++ b/crates/dillmill-node/src/handle.rs
@@ -10,7 +10,9 @@
     EvacuationChange, Evacuations, EventKind, Member, ProcessId, ServiceName, Timestamp, VmName,
 };
 use dillmill_settings::RouteTree;
-use dillmill_wire::{ClusterKey, FlowMessage, ForwardedRequest, Message, PeerRequest, Reply};
+use dillmill_wire::{
+    ClusterKey, FlowMessage, ForwardedRequest, LoadStatus, Message, PeerRequest, Reply,
+};
 use rand::Rng;
 
 use crate::control::Input;
@@ -210,6 +212,11 @@
         let _ = self.tx.send(Input::EvacuationChanges(changes));
     }
 
+    /// Sets the load of the agent's target, which the status of the process contains.
+    pub fn put_load(&self, load: LoadStatus) {
+        let _ = self.tx.send(Input::Load(load));
+    }
+
     /// Sets the fleet size read from the platform's store.
     pub fn put_stored_size(&self, stored: StoredSize) {
         let _ = self.tx.send(Input::StoredSize(stored));
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -1,6 +1,7 @@
 //! Fleets of balancers and agents for packet flows, run as processes on loopback with stand-ins for store,
 //! proxy, routers, targets and callers.
 
+mod ctl;
 mod fleet_layout;
 mod processes;
 mod vm;
--- a/crates/dillmill-wire/src/lib.rs
+++ b/crates/dillmill-wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod flow_message;
 pub mod frame;
+pub mod load_status;
 pub mod message;
 pub mod packet;
 pub mod seal;
@@ -14,6 +15,7 @@
 
 pub use flow_message::{FlowMessage, open_envelope, seal_envelope};
 pub use frame::{Frame, FrameError};
+pub use load_status::LoadStatus;
 pub use message::{CachedResponse, Message, PeerRequest, Reply};
 pub use packet::{Destination, packet_destination};
 pub use seal::{ClusterKey, ClusterKeyError, SealError};
--- a/crates/dillmill-wire/src/stream.rs
+++ b/crates/dillmill-wire/src/stream.rs
@@ -7,6 +7,8 @@
 use dillmill_settings::{Change, OverloadSettings, RouteTree, Tree};
 use serde::{Deserialize, Serialize};
 
+use crate::LoadStatus;
+
 /// Maximum length of a message on a stream, in bytes; it fits a tree of the target size with room to grow.
 pub const MAX_STREAM_MESSAGE: usize = 16 * 1024 * 1024;
 
@@ -50,6 +52,9 @@
     pub flows: u64,
     /// Number of processes that the process considers to be serving.
     pub serving: u64,
+    /// Load of the target, if the process is an agent and knows it. Earlier versions do not send it.
+    #[serde(deserialize_with = "trailing::deserialize")]
+    pub load: Option<LoadStatus>,
 }
 
 /// A message on a TCP connection.
--- a/crates/dillmill-wire/tests/earlier_versions.rs
+++ b/crates/dillmill-wire/tests/earlier_versions.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use dillmill_core::placement::{LoadDetail, LoadReport};
-use dillmill_core::{Evacuations, Member, ProcessId, Slots, TargetPace};
+use dillmill_core::{Evacuations, Member, ProcessId, Revision, Role, Slots, TargetPace};
 use dillmill_settings::{Change, RouteTree, Tree};
-use dillmill_wire::{Message, StreamMessage};
+use dillmill_wire::{LoadStatus, Message, ProcessStatus, StreamMessage};
 use serde::{Deserialize, Serialize};
 
 /// A load report as earlier versions send it.
@@ -31,10 +31,23 @@
     evacuations: Option<Evacuations>,
 }
 
+/// The status of a process as earlier versions send it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierStatus {
+    member: Member,
+    revision: Revision,
+    evacuations: Evacuations,
+    platform_reachable: bool,
+    flows: u64,
+    serving: u64,
+}
+
 /// Position of the load report among the variants of [`Message`], which every version shares.
 const LOAD_VARIANT: u8 = 1;
 /// Position of the reply to a synchronisation among the variants of [`StreamMessage`].
 const SYNC_REPLY_VARIANT: u8 = 1;
+/// Position of the status of a process among the variants of [`StreamMessage`].
+const STATUS_VARIANT: u8 = 3;
 
 fn report() -> LoadReport {
     let detail = LoadDetail { waiting: [1, 2, 3, 4], flow_demand: Some(1500) };
@@ -85,3 +98,57 @@
     assert_eq!(routes, Some(RouteTree::default()));
     assert_eq!(overload, dillmill_settings::OverloadSettings::default());
 }
+
+fn member() -> Member {
+    let (vm, zone) = ("vm-1".parse().unwrap(), "zone-a".parse().unwrap());
+    let address = "10.0.0.1:7000".parse().unwrap();
+    Member::new(ProcessId(7), vm, zone, Role::Balancer, address, address)
+}
+
+fn status() -> ProcessStatus {
+    let load = LoadStatus {
+        slots: Slots(3),
+        requests: 4,
+        waiting: 2,
+        waiting_by_class: Some([0, 2, 0, 0]),
+        service_time_ms: Some(61),
+        flow_demand: None,
+    };
+    ProcessStatus {
+        member: member(),
+        revision: Revision(5),
+        evacuations: Evacuations::default(),
+        platform_reachable: true,
+        flows: 9,
+        serving: 2,
+        load: Some(load),
+    }
+}
+
+fn earlier_status() -> EarlierStatus {
+    EarlierStatus {
+        member: member(),
+        revision: Revision(5),
+        evacuations: Evacuations::default(),
+        platform_reachable: true,
+        flows: 9,
+        serving: 2,
+    }
+}
+
+#[test]
+fn earlier_status_read() {
+    let mut bytes = vec![STATUS_VARIANT];
+    bytes.extend(postcard::to_stdvec(&earlier_status()).unwrap());
+    let read: StreamMessage = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(read, StreamMessage::Status(Box::new(ProcessStatus { load: None, ..status() })));
+}
+
+#[test]
+fn status_read_by_earlier_version() {
+    let message = StreamMessage::Status(Box::new(status()));
+    let bytes = postcard::to_stdvec(&message).unwrap();
+    assert_eq!(bytes[0], STATUS_VARIANT);
+    assert_eq!(postcard::from_bytes::<EarlierStatus>(&bytes[1..]).unwrap(), earlier_status());
+    assert_eq!(postcard::from_bytes::<StreamMessage>(&bytes).unwrap(), message);
+}
--- a/crates/dillmillctl/src/command.rs
+++ b/crates/dillmillctl/src/command.rs
@@ -23,6 +23,7 @@
     Effective { service: ServiceName, group: Option<GroupName> },
     History,
     Status { wait: Option<Duration> },
+    Load { service: ServiceName },
     Timeline { kind: Option<String> },
     Explain { subject: Subject, logs: LogSource },
 }
@@ -54,6 +55,7 @@
   effective SERVICE [GROUP]  show the values in force and where each comes from
   history                    list all changes
   status                     show the revision in force at every process
+  load SERVICE               show the load of a service's agents
   timeline                   show the events of all processes in order
   explain FLOW --logs PATH   show a flow's path and end from the processes' logs
   explain FROM..TO --logs PATH
@@ -92,6 +94,9 @@
         "status" => {
             "Usage: dillmillctl status [--wait TIME]\n\nAsks every process for its revision. Exits with 5 while one is behind; with --wait\nit asks again until all have the newest revision or TIME (such as 15s) is over."
         }
+        "load" => {
+            "Usage: dillmillctl load SERVICE\n\nAsks every agent of SERVICE for its slots (0: takes no new work), the requests at its\ntarget, what waits by priority, the target's service time, open flows and their demand\nin thousandths of a slot, and whether its data centre is evacuated. `-` stands for what\nan agent does not know. Exits with 1 if an agent does not answer."
+        }
         "timeline" => {
             "Usage: dillmillctl timeline [--kind KIND]\n\nMerges the events of all processes by time. KIND is process, settings, member,\nflow, request or platform."
         }
@@ -169,6 +174,7 @@
         }),
         ("history", []) => Ok(Verb::History),
         ("status", []) => Ok(Verb::Status { wait: wait(matches)? }),
+        ("load", [service]) => Ok(Verb::Load { service: service.parse().map_err(usage_error)? }),
         ("timeline", []) => Ok(Verb::Timeline { kind: matches.opt_str("kind") }),
         ("explain", [subject]) => {
             Ok(Verb::Explain { subject: parse_subject(subject, matches)?, logs: logs(matches)? })
--- a/crates/dillmillctl/src/config.rs
+++ b/crates/dillmillctl/src/config.rs
@@ -21,7 +21,8 @@
     pub(crate) platform: String,
     /// Cluster key of the installation, 64 hexadecimal digits.
     pub(crate) cluster_key: Secret,
-    /// Control addresses of some processes, which `status` and `timeline` ask for the list of members.
+    /// Control addresses of some processes, which `status`, `load` and `timeline` ask for the list of
+    /// members.
     #[serde(default)]
     pub(crate) peers: Vec<SocketAddrV4>,
     /// Author recorded with each change.
--- a/crates/dillmillctl/src/main.rs
+++ b/crates/dillmillctl/src/main.rs
@@ -1,8 +1,8 @@
 //! `dillmillctl`, the operator's command-line program.
 //!
 //! It edits the settings tree stored in the platform and shows the state of the processes. It never
-//! changes a balancer or an agent: `status` and `timeline` send read-only requests, and `explain` reads
-//! log files only.
+//! changes a balancer or an agent: `status`, `load` and `timeline` send read-only requests, and
+//! `explain` reads log files only.
 
 mod command;
 mod config;
--- a/crates/dillmillctl/src/verbs.rs
+++ b/crates/dillmillctl/src/verbs.rs
@@ -1,6 +1,7 @@
 //! Execution of the verbs of the command line.
 
 mod explaining;
+mod load;
 mod processes;
 mod settings;
 
@@ -28,6 +29,7 @@
         }
         Verb::History => settings::history(&cfg()?, json).await,
         Verb::Status { wait } => processes::status(&cfg()?, *wait, json).await,
+        Verb::Load { service } => load::load(&cfg()?, service, json).await,
         Verb::Timeline { kind } => processes::timeline(&cfg()?, kind.as_deref(), json).await,
         Verb::Explain { subject, logs } => explaining::explain(subject, logs, json),
     }
--- a/crates/dillmillctl/src/verbs/processes.rs
+++ b/crates/dillmillctl/src/verbs/processes.rs
@@ -1,4 +1,4 @@
-//! The verbs `status` and `timeline`, which send requests to the processes.
+//! The verbs `status` and `timeline`, and requests to all processes.
 
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Returns the list of members from the first peer that answers.
-async fn members(cfg: &CtlConfig, key: &ClusterKey) -> Result<Vec<Member>, CtlError> {
+pub(super) async fn members(cfg: &CtlConfig, key: &ClusterKey) -> Result<Vec<Member>, CtlError> {
     if cfg.peers.is_empty() {
         return Err(CtlError::Input("the settings file names no peers".to_owned()));
     }
@@ -34,7 +34,7 @@
 }
 
 /// Sends a request to every member that is not down. The response is `None` if a member did not answer.
-async fn request_all(
+pub(super) async fn request_all(
     members: Vec<Member>,
     key: &ClusterKey,
     request: &StreamMessage,
--- a/crates/dillmillctl/tests/command_line.rs
+++ b/crates/dillmillctl/tests/command_line.rs
@@ -20,6 +20,7 @@
 #[case("effective")]
 #[case("history")]
 #[case("status")]
+#[case("load")]
 #[case("timeline")]
 #[case("explain")]
 fn verbs_explained(#[case] verb: &str) {
@@ -36,6 +37,7 @@
 #[case::missing_file(&["set", "root"], "wrong arguments for `set`")]
 #[case::bad_value(&["edit", "root", "limits"], "not KEY=VALUE")]
 #[case::bad_wait(&["status", "--wait", "soon"], "not a length of time")]
+#[case::no_service(&["load"], "wrong arguments for `load`")]
 #[case::no_logs(&["explain", "10.0.0.1:1>10.0.0.2:2"], "say with --logs")]
 #[case::no_flow(&["explain", "10.0.0.1", "--logs", "-"], "`10.0.0.1` is no flow")]
 #[case::no_span(&["explain", "2..1", "--logs", "-"], "ends before it begins")]
