--- a/crates/dillmill-core/src/load/rebalancing.rs
+++ b/crates/dillmill-core/src/load/rebalancing.rs
@@ -21,7 +21,7 @@
 const AGE_FACTOR: u32 = 2;
 /// Part of a report's age (one over this number) that a sibling must save in addition for a packet that is
 /// delayed here: going to a sibling in vain costs its caller less than staying in vain.
-const DELAYED_AGE_DIVISOR: u32 = 16;
+const DELAYED_AGE_DIVISOR: u32 = 8;
 
 /// What a packet gains by going to a sibling.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
