fix(core): a moved packet waits for its turn at a full target

With the order by priority, an opening packet that an overloaded sibling had moved was given to a full target at once if it could be in time: ahead of all waiting packets, and beyond the slots and the overcommit, where the target queues without regard to priority and sheds load. It now waits like a packet that comes from a balancer. `moved_packet_waits` failed before.

--- a/crates/dillmill-core/src/flow/flow_gate/sharing.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/sharing.rs
@@ -99,7 +99,9 @@
         let requests = self.load(now).requests;
         let full = requests >= u32::from(self.slots);
         let in_time = terms.in_time(self.work_of(requests + 1), now);
-        if self.opens.any_urgent(now) || !self.cold.room(now) || (full && !in_time) {
+        let ordered = terms.policy.priority_order;
+        let queues = full && (!in_time || (ordered && !self.may_pass_queue(requests)));
+        if self.opens.any_urgent(now) || !self.cold.room(now) || queues {
             let tell = balancer_to_notify(env, holder);
             return Verdict::Wait { terms, envelope: env.clone(), tell };
         }
--- a/crates/dillmill-core/tests/priority_orders.rs
+++ b/crates/dillmill-core/tests/priority_orders.rs
@@ -230,6 +230,29 @@
     }
 }
 
+/// A packet that another agent had moved here was given to a full target at once, ahead of all waiting
+/// ones and beyond the slots.
+#[test]
+fn moved_packet_waits() {
+    let mut agent = Agent::new(true, 6);
+    for port in 0..5 {
+        agent.further(port, 0);
+    }
+    assert_eq!(agent.gate.waiting(), 1);
+    let agents = AgentTable::default();
+    let context = GateContext {
+        agents: &agents,
+        routes: &agent.routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
+    let purpose = PacketPurpose::Moved { passed: vec![ProcessId(2)], waited_ms: 10 };
+    let envelope = Envelope { purpose, ..env(OPEN) };
+    let verdict = agent.gate.arrived(&segment(90, OPEN, 1, 0), &envelope, context, START);
+    assert!(matches!(verdict, Verdict::Wait { .. }), "{verdict:?}");
+}
+
 /// A copy of a waiting request made a second entry, or overtook it once a slot was free. Packets that
 /// begin no request must not wait.
 #[test]
