fix(core): without priorities, waiting packets are moved in the order in which they are served

The order by time left also applied to the packets that an overloaded agent moves to siblings where `priority-order` is off, while its own target got the newest first.

--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -67,9 +67,10 @@
     Urgent(Timestamp),
     /// Little of the request's whole timeout remains; oldest first.
     LastChance(Timestamp),
-    /// The answer can be in time, until this time; earliest first within one priority. Newest first,
-    /// a request that is overtaken a few times in a short burst becomes late.
-    InTime(Priority, Timestamp),
+    /// The answer can be in time, until the second value; earliest first within one priority. Newest
+    /// first, a request that is overtaken a few times in a short burst becomes late. Routes without
+    /// priority order have no such time, and their packets go newest first.
+    InTime(Priority, Option<Timestamp>, Reverse<Timestamp>),
     /// The answer will be late; oldest first within one priority.
     Late(Priority, Timestamp),
     /// The caller has given up, or can get no answer before it does; newest first.
@@ -97,7 +98,8 @@
         } else if left < last_chance && ahead <= left {
             Self::LastChance(terms.since)
         } else if terms.answered_in_time(ahead, now) {
-            Self::InTime(terms.effective_priority(), terms.since + terms.answer_limit)
+            let latest = terms.policy.priority_order.then(|| terms.since + terms.answer_limit);
+            Self::InTime(terms.effective_priority(), latest, Reverse(terms.since))
         } else {
             Self::Late(terms.effective_priority(), terms.since)
         }
@@ -106,7 +108,7 @@
     /// Returns the priority by which the packet is ordered, if it is.
     pub(super) fn priority(self) -> Option<Priority> {
         match self {
-            Self::InTime(priority, _) | Self::Late(priority, _) => Some(priority),
+            Self::InTime(priority, ..) | Self::Late(priority, _) => Some(priority),
             Self::Urgent(_) | Self::LastChance(_) | Self::Abandoned(_) => None,
         }
     }
--- a/crates/dillmill-core/src/load/open_queue/wait_terms.rs
+++ b/crates/dillmill-core/src/load/open_queue/wait_terms.rs
@@ -173,10 +173,11 @@
     }
 
     /// Returns whether the request can still be answered in time, if the target has answered it after
-    /// `ahead` more work.
+    /// `ahead` more work. Without priority order, the limit is that of a new packet.
     #[must_use]
     pub fn answered_in_time(&self, ahead: Duration, now: Timestamp) -> bool {
-        now.since(self.since) + ahead <= self.answer_limit
+        let limit = if self.policy.priority_order { self.answer_limit } else { self.limit };
+        now.since(self.since) + ahead <= limit
     }
 
     /// Returns the urgency of the packet at an agent that has run for `age`, given the callers'
--- a/crates/dillmill-core/tests/open_queues.rs
+++ b/crates/dillmill-core/tests/open_queues.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use dillmill_core::open_queue::{OpenQueue, WaitTerms, WaitingOpen, waiting_since};
-use dillmill_core::{Envelope, FlowTuple, PacketPurpose, Revision, ServiceTag, Timestamp};
+use dillmill_core::{
+    Envelope, FlowTuple, OverloadPolicy, PacketPurpose, Revision, ServiceTag, Timestamp,
+};
 use rstest::rstest;
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -50,6 +52,29 @@
     assert_eq!(queue.len(), 1);
 }
 
+/// Packets were moved to siblings in another order than they are served in without priorities.
+#[rstest]
+#[case::by_time(false, [3, 2, 1])]
+#[case::by_priority(true, [2, 3, 1])]
+fn moved_as_served(#[case] priority_order: bool, #[case] expected: [u16; 3]) {
+    let policy = OverloadPolicy { priority_order, ..OverloadPolicy::default() };
+    let queue = || {
+        let mut queue = OpenQueue::new(START);
+        for (port, ms) in [(1, 0), (2, 100), (3, 150)] {
+            let open = open(port, ms);
+            queue.push(WaitingOpen { terms: open.terms.policy(policy), ..open });
+        }
+        queue
+    };
+    let port = |open: WaitingOpen| open.flow.caller().port();
+    let (mut served, mut moved) = (queue(), queue());
+    let served: Vec<u16> =
+        std::iter::from_fn(|| served.take(AHEAD, true, at(200)).map(port)).collect();
+    let moved: Vec<u16> =
+        std::iter::from_fn(|| moved.take_movable(AHEAD, at(200), |_| true).map(port)).collect();
+    assert_eq!((served, moved), (expected.to_vec(), expected.to_vec()));
+}
+
 #[test]
 fn late_only_when_idle() {
     let mut queue = queue(&[(1, 0), (2, 10)]);
