fix(core): a copy of an opening packet stays with the target that has the flow

On processes under load an agent gave an opening packet to its target and passed the caller's copy, which came 13 ms later, to a sibling, as the target was full; the copy was moved three times and reserved a slot at a second target. A copy of a flow that the target has goes to that target, which answers it without another request. copy_stays_with_target failed before.

--- a/crates/dillmill-core/src/flow/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/opening.rs
@@ -37,6 +37,11 @@
             return verdict;
         }
         let Arrival { seg, env, now, .. } = arrival;
+        if copies > 0 && self.flows.knows(&seg.flow) {
+            // The target has the flow already and answers the copy without another request. A second
+            // target would reserve a slot in vain.
+            return self.deliver_open(seg, env, copies, passed, now);
+        }
         let terms = self.wait_terms(arrival, copies);
         let requests = self.load(now).requests;
         let cold = !self.cold.room(now);
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -221,6 +221,27 @@
     assert_eq!(gate.refused(open).1, Verdict::Refuse { reason, origin, placed });
 }
 
+/// A copy of an opening packet that went to a full target's sibling opened a second target, which
+/// reserved a slot for a caller that had acknowledged the first.
+#[test]
+fn copy_stays_with_target() {
+    let (agents, routes) = (three_agents(), routes(1, "orders"));
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
+    let mut gate = gate();
+    for port in 1..=5 {
+        open_flow(&mut gate, port, context);
+    }
+    let copy = segment(3, SegmentKind::Open { copies: 1 });
+    let verdict = arrived(&mut gate, &copy, &place(), context);
+    assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
+}
+
 /// A new opening packet must not overtake a queued one whose caller is about to give up, even if a
 /// slot is idle.
 #[test]
