--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -41,6 +41,7 @@
 use crate::attempt_timeout::{AttemptTimeoutEstimator, MAX_ATTEMPT_TIMEOUT};
 use crate::{Envelope, FlowTuple, PRIORITY_CLASSES, Timestamp};
 
+mod choice;
 mod following;
 mod last_chance_turns;
 mod serving_order;
@@ -206,61 +207,6 @@
         self.following.take()
     }
 
-    /// Returns the next packet if the order depends on times alone.
-    fn next_by_time(
-        &self,
-        ahead: Duration,
-        room: bool,
-        now: Timestamp,
-    ) -> Option<(usize, TakeReason)> {
-        if let Some(urgent) = self.first_to_give_up(WaitState::Urgent, now) {
-            return room.then_some((urgent, TakeReason::LastChance));
-        }
-        if let Some(in_time) = self.newest_in_time(ahead, now) {
-            return Some((in_time, TakeReason::InTime));
-        }
-        if !room {
-            return None;
-        }
-        let late = self.first_to_give_up(WaitState::Pending, now);
-        let late = late.map(|i| (i, TakeReason::Late));
-        late.or_else(|| self.newest().map(|i| (i, TakeReason::Abandoned)))
-    }
-
-    /// Returns the next packet in order of priority, or the first of a lower priority if the turn
-    /// is one of theirs.
-    fn next_by_priority(&mut self, ahead: Duration, now: Timestamp) -> Option<(usize, TakeReason)> {
-        let ranks: Vec<Rank> = self.waiting.iter().map(|o| self.rank(o, ahead, now)).collect();
-        let first = |from: &dyn Fn(Rank) -> bool| {
-            let such = ranks.iter().copied().enumerate().filter(|(_, rank)| from(*rank));
-            such.min_by_key(|(_, rank)| *rank)
-        };
-        let mut head = first(&|_| true)?;
-        self.last_chance.earn();
-        if matches!(head.1, Rank::LastChance(_))
-            && let Some(in_time) = first(&|rank| matches!(rank, Rank::InTime(..)))
-            && !self.last_chance.next()
-        {
-            head = in_time;
-        }
-        let (head, rank) = head;
-        let below = |other: Rank| Some(rank.priority()?.is_above(other.priority()?));
-        let lower = first(&|other| below(other) == Some(true));
-        let share = self.waiting[head].terms.policy.low_priority_share;
-        match lower {
-            Some((lower, _)) if self.low_priority.next(share) => {
-                Some((lower, TakeReason::LowPriorityTurn))
-            }
-            _ => Some((head, rank.reason())),
-        }
-    }
-
-    fn rank(&self, open: &WaitingOpen, ahead: Duration, now: Timestamp) -> Rank {
-        let attempt_timeout = self.attempt_timeout(&open.flow, &open.terms, now);
-        let state = open.terms.wait_state(attempt_timeout, now.since(self.started), now);
-        Rank::new(&open.terms, state, attempt_timeout, ahead, now)
-    }
-
     /// Returns the queued packets in the order in which the target would get them from now on.
     #[must_use]
     pub fn in_order(&self, ahead: Duration, now: Timestamp) -> Vec<&WaitingOpen> {
@@ -276,26 +222,6 @@
         open.terms.last_attempt(attempt_timeout, now.since(self.started))
     }
 
-    /// Returns the packet in this state whose caller gives up first.
-    fn first_to_give_up(&self, wait_state: WaitState, now: Timestamp) -> Option<usize> {
-        let all = self.waiting.iter().enumerate();
-        let such = all.filter(|(_, open)| self.wait_state(open, now) == wait_state);
-        let attempt_timeout =
-            |open: &WaitingOpen| self.attempt_timeout(&open.flow, &open.terms, now);
-        let gives_up = |open: &WaitingOpen| open.terms.since + attempt_timeout(open);
-        such.min_by_key(|(_, open)| gives_up(open)).map(|(i, _)| i)
-    }
-
-    fn newest_in_time(&self, ahead: Duration, now: Timestamp) -> Option<usize> {
-        let in_time = self.waiting.iter().enumerate().filter(|(_, o)| o.terms.in_time(ahead, now));
-        in_time.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
-    }
-
-    fn newest(&self) -> Option<usize> {
-        let all = self.waiting.iter().enumerate();
-        all.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
-    }
-
     /// Removes and returns the packets whose callers have certainly given up, or will before an
     /// answer could reach them.
     pub fn take_abandoned(&mut self, now: Timestamp) -> Vec<WaitingOpen> {
