perf(core): the search for urgent packets skips those that can no longer be urgent

Each opening packet that arrives at a full target searched the whole queue and looked up the attempt timeout of each packet in it.

--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -179,7 +179,10 @@
     /// Returns whether any queued packet's caller may soon end its attempt.
     #[must_use]
     pub fn any_urgent(&self, now: Timestamp) -> bool {
-        self.waiting.iter().any(|open| self.wait_state(open, now) == WaitState::Urgent)
+        // This is asked for each new packet, and the state takes longer to find out than the age.
+        let age = now.since(self.started);
+        let mut recent = self.waiting.iter().filter(|open| age < open.terms.timeout);
+        recent.any(|open| self.wait_state(open, now) == WaitState::Urgent)
     }
 
     /// Removes and returns the next packet that may be served. `ahead` is the time that the
