--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -51,7 +51,7 @@
 use following::FollowingPackets;
 use last_chance_turns::LastChanceTurns;
 pub use serving_order::TakeReason;
-use serving_order::{Rank, TurnShare};
+use serving_order::TurnShare;
 use wait_terms::WaitState;
 pub use wait_terms::{WaitTerms, wait_limit, waiting_since};
 
