fix(flow): waiting packets are served after a packet that the target returns

Every other packet makes the agent look for the next waiting one. After a returned packet, whose slot is free again, it looked only at the next event, up to a tick (100 ms) later. Found by reading; no test of its own, as the loop of an agent has none below real processes.

--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -221,7 +221,10 @@
                     self.handle_network_packet(buf, now).await;
                     self.serve_queue(now).await;
                 }
-                Event::TargetPacketEffect(buf) => self.handle_target_packet(buf, now).await,
+                Event::TargetPacketEffect(buf) => {
+                    self.handle_target_packet(buf, now).await;
+                    self.serve_queue(now).await;
+                }
                 Event::Flow(from, FlowMessage::LoadExchange { reply, report }) => {
                     self.handle_load_exchange(from, report, reply, now).await;
                 }
--- a/crates/dillmill-flow/src/agent_task/packets.rs
+++ b/crates/dillmill-flow/src/agent_task/packets.rs
@@ -89,7 +89,6 @@
         }
         self.counters.answered.inc();
         self.send_to_caller(&seg, buf, now).await;
-        self.serve_queue(now).await;
     }
 
     pub(super) async fn apply_verdict(
