feat(core): the newest goes first once far more requests are late than in time

Least time left first carries a short burst, but in an overload that lasts it brings each request to the end of its time before it is served.

--- a/crates/dillmill-core/src/load/open_queue/choice.rs
+++ b/crates/dillmill-core/src/load/open_queue/choice.rs
@@ -36,7 +36,10 @@
         ahead: Duration,
         now: Timestamp,
     ) -> Option<(usize, TakeReason)> {
-        let ranks: Vec<Rank> = self.waiting.iter().map(|o| self.rank(o, ahead, now)).collect();
+        let mut ranks: Vec<Rank> = self.waiting.iter().map(|o| self.rank(o, ahead, now)).collect();
+        if is_overloaded(&ranks) {
+            ranks = ranks.into_iter().map(Rank::newest_first).collect();
+        }
         let first = |from: &dyn Fn(Rank) -> bool| {
             let such = ranks.iter().copied().enumerate().filter(|(_, rank)| from(*rank));
             such.min_by_key(|(_, rank)| *rank)
@@ -61,6 +64,7 @@
         }
     }
 
+    /// Returns the rank of a packet while the queue is not overloaded.
     pub(super) fn rank(&self, open: &WaitingOpen, ahead: Duration, now: Timestamp) -> Rank {
         let attempt_timeout = self.attempt_timeout(&open.flow, &open.terms, now);
         let state = open.terms.wait_state(attempt_timeout, now.since(self.started), now);
@@ -87,3 +91,18 @@
         all.max_by_key(|(_, open)| open.terms.since).map(|(i, _)| i)
     }
 }
+
+/// Number of late requests for each that can be in time from which an overload counts as lasting. A
+/// short burst leaves fewer, and newest first would make requests late that could all be in time.
+const LATE_PER_IN_TIME: usize = 4;
+
+/// Returns whether far more requests are late than can be in time, as in an overload that lasts.
+///
+/// The one with the least time left goes first to carry all requests through a short burst. If the
+/// target can't keep up, that order brings each request to the end of its time before it is served,
+/// and makes all of them late. The newest first then keeps most in time.
+fn is_overloaded(ranks: &[Rank]) -> bool {
+    let count = |of: fn(&Rank) -> bool| ranks.iter().filter(|rank| of(rank)).count();
+    let in_time = count(|rank| matches!(rank, Rank::InTime(..)));
+    count(|rank| matches!(rank, Rank::Late(..))) > in_time * LATE_PER_IN_TIME
+}
--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Returns the rank of the packet if the newest goes first among those that can be in time.
+    pub(super) fn newest_first(self) -> Self {
+        match self {
+            Self::InTime(priority, _, newest) => Self::InTime(priority, None, newest),
+            other => other,
+        }
+    }
+
     /// Returns the priority by which the packet is ordered, if it is.
     pub(super) fn priority(self) -> Option<Priority> {
         match self {
