docs(core): module heads and terms of the decisions under overload

The heads say which parts a module has and which load it answers, and the tables list each module. Private names follow: typical times of a target, replies left, one constant for a whole turn.

--- a/crates/dillmill-core/src/flow.rs
+++ b/crates/dillmill-core/src/flow.rs
@@ -5,7 +5,8 @@
 //! |---|---|
 //! | [`flow_gate`] | an agent's decision on each packet: deliver, queue, pass on, search, refuse |
 //! | [`flow_placement`] | a balancer's choice of the agent for a new flow, by reported load |
-//! | [`flow_volume`] | bytes that callers send in a flow of a service |
+//! | `target_cost` | cost of a new flow at a target, by which the placement compares agents |
+//! | [`flow_volume`] | mean number of bytes and requests that callers send in a flow |
 //! | [`flow_kinds`] | which routes have flows that carry several requests |
 //! | [`route_table`] | routes in force, by address |
 //! | [`agent_table`] | agents known to a process, by service, ring position and address |
--- a/crates/dillmill-core/src/flow/flow_gate/waiting.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/waiting.rs
@@ -56,7 +56,8 @@
         self.opens.taken()
     }
 
-    /// Returns why the latest packet that left the queue was taken.
+    /// Returns why the latest packet that left the queue was taken; `None` if there is none, or if
+    /// it left because the target takes no new flows.
     #[must_use]
     pub fn last_taken(&self) -> Option<TakeReason> {
         self.opens.last_taken()
--- a/crates/dillmill-core/src/flow/flow_kinds.rs
+++ b/crates/dillmill-core/src/flow/flow_kinds.rs
@@ -1,4 +1,5 @@
-//! Learns which routes have flows that carry several requests, from the packets of callers.
+//! Learns which routes have flows that carry several requests, from the packets of callers. Such flows
+//! can't be moved later, so balancers place them by the speed of the targets.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -10,7 +11,7 @@
 
 /// Number of flows that are observed at a time. Any other packet costs one hash and one comparison.
 const SAMPLES: usize = 256;
-/// Hash seed of the choice of samples; any number that no address gives will do.
+/// Seed of the hash that chooses the samples. Any number works that does not result from an address.
 const SAMPLE_SEED: u64 = u64::MAX - 2;
 /// Time without a request after which another flow is observed instead.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/dillmill-core/src/flow/target_cost.rs
+++ b/crates/dillmill-core/src/flow/target_cost.rs
@@ -1,4 +1,5 @@
-//! Cost of a new flow at a target, from the target's load report.
+//! Computes the cost of a new flow at a target from the target's load report; a balancer gives the flow
+//! to the agent with the lowest cost.
 
 use std::time::Duration;
 
@@ -8,11 +9,12 @@
 /// Load of an open flow in thousandths of a slot, if the agent does not report the demand of its flows:
 /// one request of some 50 ms a second.
 const IDLE_FLOW_LOAD: u32 = 50;
-/// Difference in speed, in thousandths of the typical time of the service, from which it counts: 1.25
-/// times the typical time, or a 1.25th of it. Estimates of equal targets mostly differ by less.
-const NOTABLE_SPEED: std::ops::Range<u64> = 800..1250;
-/// Time of a slow target, in thousandths of the typical time, while each target has a free slot.
-const SLOW: u64 = 2000;
+/// Times per request, in thousandths of the typical time of the service, at which a target counts as of
+/// typical speed: from a 1.25th to 1.25 times. Estimates of equal targets mostly differ by less.
+const TYPICAL_TIMES: std::ops::Range<u64> = 800..1250;
+/// Time per request, in thousandths of the typical time, from which a target counts as slow while each
+/// target has a free slot.
+const SLOW_TIME: u64 = 2000;
 /// Share of a request's own longer time in its cost, in thousandths. Not all of it counts, because the
 /// longer time delays only the caller of the request, while a queue delays all callers behind it.
 const OWN_WORK_SHARE: i64 = 250;
@@ -42,7 +44,7 @@
 /// Returns whether a target is notably slower or faster than is typical of its service.
 pub(super) fn differs_in_speed(report: &LoadReport, typical_work: Duration) -> bool {
     let work = report.pace.work;
-    !work.is_zero() && !NOTABLE_SPEED.contains(&thousandths(work, typical_work))
+    !work.is_zero() && !TYPICAL_TIMES.contains(&thousandths(work, typical_work))
 }
 
 fn requests(report: &LoadReport, sent: u32) -> u32 {
@@ -53,7 +55,8 @@
 /// Returns the cost of a new flow at a target to which `sent` flows have gone since its report, in
 /// thousandths of `typical_work`, the typical time of a request.
 ///
-/// By its slots alone, a cold target would get as many flows as a warm one.
+/// The cost of a cold target is the time until its request limit leaves room: by its slots alone, it
+/// would get as many flows as a warm one.
 pub(super) fn target_cost(
     report: &LoadReport,
     sent: u32,
@@ -67,8 +70,8 @@
     let ahead = load_ahead(report, sent, comparison).cast_signed();
     let work = thousandths(report.pace.work, typical_work);
     let (typical, own_share) = match comparison {
-        Comparison::BySlots => (0..SLOW, 1000),
-        Comparison::ByTime(_) => (NOTABLE_SPEED, OWN_WORK_SHARE),
+        Comparison::BySlots => (0..SLOW_TIME, 1000),
+        Comparison::ByTime(_) => (TYPICAL_TIMES, OWN_WORK_SHARE),
     };
     if report.pace.work.is_zero() || typical.contains(&work) {
         return ahead;
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`flow_id`] | which agent owns a QUIC connection id |
 //! | [`flow_placement`] | which agent a balancer assigns a new packet flow to |
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
+//! | [`flow_kinds`] | which routes have flows that carry several requests |
 //! | [`agent_table`] | in which order agents are queried for the owner of a flow |
 //! | [`evacuations`] | which data centres receive no new flows |
 //! | [`open_queue`] | which opening packet is served next at an overloaded target |
@@ -17,6 +18,8 @@
 //! | [`attempt_timeout`] | how long callers wait for an answer to an opening packet |
 //! | [`outcomes`] | whether a target that fails requests is ejected for a while |
 //! | [`answer_norms`] | which answers of a target are outliers |
+//! | [`target_speed`] | how long a target takes for a request |
+//! | [`flow_demand`] | how much load the open flows of a target are expected to bring |
 //! | [`target_runs`] | which run of a target a heartbeat belongs to |
 //! | [`link_admission`] | which uploads are admitted to the VM's link |
 //! | [`link_queue`] | which datagram leaves next over the VM's link, and when |
--- a/crates/dillmill-core/src/load.rs
+++ b/crates/dillmill-core/src/load.rs
@@ -5,7 +5,7 @@
 //! | [`open_queue`] | order in which packets that wait for an overloaded target are served |
 //! | [`admission_level`] | share of new flows that a balancer refuses under overload |
 //! | [`unservable`] | waiting packets that can't be served within their callers' attempts |
-//! | [`return_schedule`] | when refused callers return |
+//! | [`return_schedule`] | when callers that the scheduler refuses should return |
 //! | [`priority`] | priority of the requests on a route |
 //! | [`overload_policy`] | settings that govern decisions under overload |
 //! | [`attempt_timeout`] | how long callers wait for the answer to an opening packet |
--- a/crates/dillmill-core/src/load/exchange_rounds.rs
+++ b/crates/dillmill-core/src/load/exchange_rounds.rs
@@ -1,7 +1,6 @@
 //! Schedules the exchange of loads between the agents of a service: when, and with which siblings.
 //!
-//! It responds to an agent whose target is full or for which packets wait; in the idle state nothing is
-//! sent. The cost of an agent does not depend on the size of the service: requests and replies are both
+//! Responds to an agent whose target is full or for which packets wait; an idle agent sends nothing. The cost of an agent does not depend on the size of the service: requests and replies are both
 //! limited to two per interval.
 
 use std::collections::HashSet;
@@ -42,9 +41,13 @@
 pub struct ExchangeRounds {
     /// Siblings that have exchanged loads.
     known: HashSet<ProcessId>,
+    /// When the next exchange is due.
     next: Timestamp,
+    /// Number of exchanges so far.
     round: u32,
-    replies: u32,
+    /// Replies that may be sent now.
+    replies_left: u32,
+    /// When replies were last added.
     replies_refilled: Timestamp,
 }
 
@@ -85,8 +88,8 @@
 
     /// Notes that a sibling has exchanged loads; returns whether this is the first time.
     ///
-    /// The first load of a sibling answers a question of this agent, which still owes its own load. That
-    /// message takes the place of the request and does not count as a reply.
+    /// The first load of a sibling replies to a request for the load (`AskLoad`), which does not carry
+    /// this agent's own load. The message that sends it afterwards does not count as a reply.
     pub fn note_known(&mut self, process: ProcessId) -> bool {
         if self.known.len() >= MAX_KNOWN {
             self.known.clear();
@@ -100,13 +103,13 @@
         let elapsed = now.since(self.replies_refilled);
         let gained = elapsed.as_millis() / REPLY_INTERVAL.as_millis();
         if gained >= u128::from(MAX_REPLY_BURST) {
-            (self.replies, self.replies_refilled) = (MAX_REPLY_BURST, now);
+            (self.replies_left, self.replies_refilled) = (MAX_REPLY_BURST, now);
         } else if let Ok(gained) = u32::try_from(gained) {
-            self.replies = (self.replies + gained).min(MAX_REPLY_BURST);
+            self.replies_left = (self.replies_left + gained).min(MAX_REPLY_BURST);
             self.replies_refilled = self.replies_refilled + REPLY_INTERVAL * gained;
         }
-        let allowed = self.replies > 0;
-        self.replies = self.replies.saturating_sub(1);
+        let allowed = self.replies_left > 0;
+        self.replies_left = self.replies_left.saturating_sub(1);
         allowed
     }
 }
--- a/crates/dillmill-core/src/load/open_queue.rs
+++ b/crates/dillmill-core/src/load/open_queue.rs
@@ -23,16 +23,28 @@
 //! 3. Late packets, by priority, oldest first within one priority.
 //! 4. Packets whose callers have probably given up.
 //!
-//! While packets of 2 wait, last chances get only a share of the turns, which they may save up for a
-//! short overload. Under a lasting one every surplus request comes to its last chance, and would
-//! take the turn of one that can be in time. A share of the turns of 2 and 3 goes to the first packet with a lower priority than the
-//! first of all. Priority applies only within each class: late packets ahead of others that can be
-//! in time would make those late as well.
+//! A packet with little of the request's timeout left is at its *last chance*. While packets of 2
+//! wait, last chances get only a share of the turns, which they may save up for a short overload.
+//! Under a lasting one every surplus request comes to its last chance, and would take the turn of
+//! one that can be in time.
+//!
+//! A share of the turns of 2 and 3 goes to the first packet with a lower priority than the packet
+//! whose turn it would be. Priority applies only within each of the groups above: late packets ahead
+//! of others that can be in time would make those late as well.
 //!
 //! A queue that always served the oldest packet would never recover once its delay had reached
 //! the callers' attempt timeout: all its work would go to callers that had just given up, and
 //! each of them would be back with another attempt. Under a load that stays at the targets'
 //! capacity it would also make every answer late in order to save a few.
+//!
+//! | Part | Responsibility |
+//! |---|---|
+//! | `choice` | which packet is next, by time or by priority |
+//! | `serving_order` | rank of a packet in the order by priority |
+//! | `last_chance_turns` | turns of last chances ahead of packets that can be answered in time |
+//! | `wait_terms` | time limits of a waiting packet, and whether its caller is still there |
+//! | `following` | further packets of a request that waits |
+//! | `moving` | which waiting packets are served by a sibling |
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -275,7 +287,8 @@
         self.taken
     }
 
-    /// Returns why the latest packet was taken; `None` if the target takes no new flows.
+    /// Returns why the latest packet was taken; `None` if there is none, or if it left the queue
+    /// because the target takes no new flows.
     #[must_use]
     pub fn last_taken(&self) -> Option<TakeReason> {
         self.last_taken
--- a/crates/dillmill-core/src/load/open_queue/following.rs
+++ b/crates/dillmill-core/src/load/open_queue/following.rs
@@ -19,7 +19,7 @@
 }
 
 impl FollowingPackets {
-    /// Adds a packet unless a copy of it is here; returns it if there is no room.
+    /// Adds a packet unless a copy of it is held; returns it if there is no room.
     pub(super) fn push(&mut self, packet: WaitingOpen) -> Option<WaitingOpen> {
         let copy = |p: &WaitingOpen| p.flow == packet.flow && p.terms.seq == packet.terms.seq;
         if self.packets.iter().any(copy) {
@@ -37,7 +37,7 @@
         self.released = self.holds(flow).then_some(*flow);
     }
 
-    /// Returns whether packets of `flow` are here.
+    /// Returns whether packets of `flow` are held.
     pub(super) fn holds(&self, flow: &FlowTuple) -> bool {
         self.packets.iter().any(|packet| packet.flow == *flow)
     }
--- a/crates/dillmill-core/src/load/open_queue/serving_order.rs
+++ b/crates/dillmill-core/src/load/open_queue/serving_order.rs
@@ -1,4 +1,4 @@
-//! Order in which waiting packets are served by the priority of their routes.
+//! Ranks waiting packets by the time that is left for them and the priority of their routes.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -13,8 +13,8 @@
 /// The last chance is at most this fraction of a route's timeout. Otherwise most requests of routes
 /// with a short timeout would go ahead of higher priorities.
 const LAST_CHANCE_DIVISOR: u32 = 4;
-/// Turns are counted in hundredths, as their share is a percentage.
-const WHOLE_TURN: u32 = 100;
+/// One turn, in hundredths, as shares of turns are percentages.
+pub(super) const WHOLE_TURN: u32 = 100;
 
 /// Why a packet was taken from the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -67,9 +67,9 @@
     Urgent(Timestamp),
     /// Little of the request's whole timeout remains; oldest first.
     LastChance(Timestamp),
-    /// The answer can be in time, until the second value; earliest first within one priority. Newest
-    /// first, a request that is overtaken a few times in a short burst becomes late. Routes without
-    /// priority order have no such time, and their packets go newest first.
+    /// The answer can be in time, until the second value; earliest first within one priority. With
+    /// the newest first, a request that is overtaken a few times in a short burst would become late.
+    /// Routes without priority order have no such time, and their packets go newest first.
     InTime(Priority, Option<Timestamp>, Reverse<Timestamp>),
     /// The answer will be late; oldest first within one priority.
     Late(Priority, Timestamp),
--- a/crates/dillmill-core/src/load/open_queue/wait_terms.rs
+++ b/crates/dillmill-core/src/load/open_queue/wait_terms.rs
@@ -165,15 +165,15 @@
         self
     }
 
-    /// Returns whether the answer can still be in time if the target has `ahead` of work to do
-    /// first.
+    /// Returns whether the answer can still be in time if `ahead` of work must be done first: whether
+    /// the wait and that work stay within the part of the latency objective that is for queueing.
     #[must_use]
     pub fn in_time(&self, ahead: Duration, now: Timestamp) -> bool {
         now.since(self.since) + ahead <= self.limit
     }
 
     /// Returns whether the request can still be answered in time, if the target has answered it after
-    /// `ahead` more work. Without priority order, the limit is that of a new packet.
+    /// `ahead` more work. Without priority order, the limit is that of [`WaitTerms::in_time`].
     #[must_use]
     pub fn answered_in_time(&self, ahead: Duration, now: Timestamp) -> bool {
         let limit = if self.policy.priority_order { self.answer_limit } else { self.limit };
--- a/crates/dillmill-core/src/load/overload_policy.rs
+++ b/crates/dillmill-core/src/load/overload_policy.rs
@@ -9,11 +9,13 @@
 /// Decisions under overload that are in force for a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OverloadPolicy {
-    /// Waiting requests are served by the priority of their routes.
+    /// Whether waiting requests are served by the priority of their routes.
     pub priority_order: bool,
-    /// Agents exchange their load and pass waiting packets to siblings that have room.
+    /// Whether overloaded agents exchange loads with siblings, and pass new and waiting flows to
+    /// those that serve them sooner.
     pub load_sharing: bool,
-    /// Requests that can no longer be served are refused at once.
+    /// Whether balancers refuse new flows, and agents refuse waiting ones, that can't be served
+    /// before their callers give up.
     pub admission_control: bool,
     /// Percentage of turns kept for waiting requests of lower priority.
     pub low_priority_share: Percent,
--- a/crates/dillmill-core/src/load/rebalancing.rs
+++ b/crates/dillmill-core/src/load/rebalancing.rs
@@ -1,10 +1,10 @@
 //! Chooses the siblings that serve an overloaded agent's opening packets sooner.
 //!
-//! It responds to a queue that is long at one agent while a sibling has free capacity. A packet goes to
-//! a sibling only if it waits there for less time than here by a margin, which is larger for packets that
-//! can be answered in time where they are. Each packet sent counts towards
-//! the sibling's load at once, so an agent stops sending as soon as half of the difference is balanced,
-//! and two agents cannot swap their load.
+//! Responds to a queue that is long at one agent while a sibling has free capacity. A packet goes to a
+//! sibling only if it waits there for less time than here by a margin, which is larger for packets that
+//! can be answered in time where they are. Each packet sent counts towards the sibling's load at once, so
+//! an agent stops sending as soon as half of the difference is balanced, and two agents cannot swap their
+//! load.
 
 use std::time::Duration;
 
--- a/crates/dillmill-core/src/load/return_schedule.rs
+++ b/crates/dillmill-core/src/load/return_schedule.rs
@@ -1,4 +1,4 @@
-//! Decides when refused callers should return.
+//! Decides when callers that the scheduler of an HTTP/3 agent refuses should return.
 //!
 //! Responds to requests refused because of a full queue or a wait that is too long. Callers that
 //! are all told the same time return together, and most are refused again.
--- a/crates/dillmill-core/src/load/sibling_loads.rs
+++ b/crates/dillmill-core/src/load/sibling_loads.rs
@@ -17,6 +17,7 @@
 pub struct SiblingLoad {
     report: LoadReport,
     at: Timestamp,
+    /// Packets sent to the sibling since the report.
     sent: u32,
 }
 
@@ -48,6 +49,10 @@
             self.report.pace.cold.is_none_or(|c| c.received.saturating_add(self.sent) < c.limit);
         self.report.slots.0 > 0 && below_limit
     }
+
+    fn is_current(&self, now: Timestamp) -> bool {
+        now.since(self.at) < LOAD_LIFETIME
+    }
 }
 
 /// The loads of the siblings that have reported most recently.
@@ -97,9 +102,3 @@
         self.current(now).next().is_some()
     }
 }
-
-impl SiblingLoad {
-    fn is_current(&self, now: Timestamp) -> bool {
-        now.since(self.at) < LOAD_LIFETIME
-    }
-}
--- a/crates/dillmill-core/src/target.rs
+++ b/crates/dillmill-core/src/target.rs
@@ -3,10 +3,14 @@
 //! | Module | Responsibility |
 //! |---|---|
 //! | [`target_flows`] | flows of the target and the requests on them |
+//! | `tracked_flow` | state of one flow |
+//! | `flow_match` | whether a caller's packet belongs to a flow of the target |
+//! | `target_packet_effect` | what the agent does after a packet of the target |
+//! | `slot_use` | when the target begins to serve each request |
 //! | [`target_load`] | requests and flows of the target |
 //! | [`target_run`] | identity of one run of a target |
 //! | [`target_runs`] | run of the target that a heartbeat belongs to |
-//! | [`target_pace`] | measured speed of a target |
+//! | [`target_pace`] | speed of a target, as load reports carry it |
 //! | [`target_speed`] | estimate of the speed of a target |
 //! | [`service_time`] | usual time of a route's requests |
 //! | [`flow_demand`] | load that open flows are expected to bring |
--- a/crates/dillmill-core/src/target/flow_demand.rs
+++ b/crates/dillmill-core/src/target/flow_demand.rs
@@ -8,8 +8,8 @@
 
 /// Interval at which the flows are counted. Each count visits all flows of the target.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time constant, in seconds, with which earlier requests lose weight: some requests of each flow at the
-/// usual rate of one in a second or two.
+/// Time constant, in seconds, with which earlier requests lose weight. It covers a few requests of each
+/// flow, at the usual rate of one per second or two.
 const TIME_CONSTANT: f64 = 3.0;
 /// Requests per second assumed of an open flow of which nothing is known.
 const ASSUMED_RATE: f64 = 1.0;
@@ -42,7 +42,9 @@
 #[derive(Debug, Default)]
 pub struct FlowDemand {
     routes: HashMap<SocketAddrV4, RouteDemand>,
+    /// When the flows were last counted.
     updated: Option<Timestamp>,
+    /// Expected load as of the last count, in thousandths of a slot.
     thousandths: u32,
 }
 
--- a/crates/dillmill-core/src/target/target_speed.rs
+++ b/crates/dillmill-core/src/target/target_speed.rs
@@ -1,5 +1,9 @@
 //! Estimates how fast a target is from the times of its answers, whatever the mix of routes and however
 //! few requests take many times as long as the others.
+//!
+//! Each answer's time is compared with the usual time of its route, so another mix of routes is not taken
+//! for a change of speed. A change shows in the mean logarithm of the last answers' deviations from the
+//! estimate, against the same mean over many answers.
 
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -15,13 +19,15 @@
 /// Answers over which the deviation from the estimate is averaged, so that a change of speed shows within
 /// about ten answers.
 const RECENT_WINDOW: f64 = 8.0;
-/// Answers over which the usual deviation is averaged. It is below zero, as a logarithm weighs requests
-/// that take long less than the mean does. The window grows from the recent one to this, because the
+/// Answers over which the usual deviation is averaged. The usual deviation is below zero, as a logarithm
+/// weighs requests that take long less than the mean does. The window grows from the recent one to this, because the
 /// first answer alone tells nothing of what is usual.
 const BIAS_WINDOW: f64 = 256.0;
 /// Mean deviation, as a factor, from which the speed is taken to have changed: 3.4 standard deviations
 /// of the recent deviation where the logarithms of times vary by half. A smaller change is averaged in.
 const CHANGE_FACTOR: f64 = 1.6;
+/// An observation counts as at least the estimate divided by this number, which bounds its logarithm.
+const OBSERVATION_FLOOR_DIVISOR: f64 = 100.0;
 /// Shortest time that counts. Times are whole milliseconds, and an estimate of zero could not grow, as an
 /// observation counts as at most a multiple of it.
 const MIN_TIME: Duration = Duration::from_millis(1);
@@ -47,7 +53,7 @@
     window: f64,
     /// Natural logarithm of the mean deviation of the last answers from the estimate.
     deviation: f64,
-    /// The same over many answers.
+    /// The same mean over many answers: the deviation that is usual while the speed does not change.
     bias: f64,
     /// Answers over which `bias` is averaged now.
     bias_window: f64,
@@ -90,7 +96,8 @@
     }
 
     fn note_ratio(&mut self, observed: f64) {
-        let observed = observed.min(self.ratio * OBSERVATION_CAP).max(self.ratio / 100.0);
+        let observed =
+            observed.min(self.ratio * OBSERVATION_CAP).max(self.ratio / OBSERVATION_FLOOR_DIVISOR);
         let deviation = (observed / self.ratio).ln();
         self.bias += (deviation - self.bias) / self.bias_window;
         self.bias_window = (self.bias_window + 1.0).min(BIAS_WINDOW);
--- a/crates/dillmill-core/src/trailing.rs
+++ b/crates/dillmill-core/src/trailing.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Deserializer};
 
-/// Deserializes the last field of a message; the default if the message ends before the field, as
-/// messages of earlier versions do.
+/// Deserializes the last field of a message. Returns the default if the message ends before the field, as
+/// messages of earlier versions do, or if the field can't be read.
 ///
 /// Use it with `#[serde(deserialize_with = "…")]` on the last field of a type that is itself the last
 /// part of its messages. Earlier versions ignore the bytes of the field.
--- a/crates/dillmill-settings/src/overload.rs
+++ b/crates/dillmill-settings/src/overload.rs
@@ -13,9 +13,11 @@
 pub struct Overload {
     /// Whether waiting requests are served by the priority of their routes.
     pub priority_order: Option<bool>,
-    /// Whether agents pass waiting packets to siblings that have room.
+    /// Whether overloaded agents exchange loads with siblings, and pass new and waiting flows to those
+    /// that serve them sooner.
     pub load_sharing: Option<bool>,
-    /// Whether requests that can no longer be served are refused at once.
+    /// Whether balancers refuse new flows, and agents refuse waiting ones, that can't be served before
+    /// their callers give up.
     pub admission_control: Option<bool>,
     /// Percentage of turns kept for waiting requests of lower priority, 50 at most.
     pub low_priority_share: Option<Percent>,
