refactor(core): placing at a busy target and the choice of siblings in functions of their own

The question whether a route shares load, and the priority by which its requests are ordered, stood twice. Behaviour is the same: no check changes its place.

--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -100,7 +100,7 @@
     /// there.
     dispatched: VecDeque<DispatchedOpen>,
     /// When the queue was last searched for packets that can't be served.
-    unservable_sought: Timestamp,
+    last_unservable_search: Timestamp,
     trials: Vec<Option<Envelope>>,
     next_trial: usize,
     /// Flows whose packets the target has returned. The target can only come to hold such a flow
@@ -129,7 +129,7 @@
             directory: FlowDirectory::default(),
             opens: OpenQueue::new(now),
             dispatched: VecDeque::new(),
-            unservable_sought: Timestamp::default(),
+            last_unservable_search: Timestamp::default(),
             trials: vec![None; MAX_TRIALS],
             next_trial: 0,
             not_held: GenerationCache::new(FULL_COVERAGE_AFTER, NOT_HELD_CAPACITY),
--- a/crates/dillmill-core/src/flow/flow_gate/opening.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/opening.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::sharing::load_sharing;
+use super::sharing::shares_load;
 use super::{Arrival, FlowGate, PassReason, RefuseReason, Verdict};
 use crate::agent_table::AgentEntry;
 use crate::envelope::{Envelope, PacketPurpose};
@@ -42,38 +42,63 @@
             // target would reserve a slot in vain.
             return self.deliver_open(seg, env, copies, passed, now);
         }
+        self.place_busy(arrival, copies, passed)
+            .unwrap_or_else(|| self.deliver_open(seg, env, copies, passed, now))
+    }
+
+    /// Passes an opening packet on or queues it if the target is full or cold, or if packets that wait
+    /// here are urgent; returns `None` if the target gets the packet now.
+    fn place_busy(
+        &mut self,
+        arrival: Arrival<'_>,
+        copies: u32,
+        passed: &[ProcessId],
+    ) -> Option<Verdict> {
+        let Arrival { env, now, .. } = arrival;
         let terms = self.wait_terms(arrival, copies);
         let requests = self.load(now).requests;
         let cold = !self.cold.room(now);
         let crowded = self.opens.any_urgent(now);
-        if requests >= u32::from(self.slots) || crowded || cold {
-            let late = cold || crowded || self.would_be_late(&terms, requests, now);
-            let wait = late || self.must_queue(&terms, requests);
-            let reason = match (cold, late) {
-                (true, _) => PassReason::Cold,
-                (false, true) => PassReason::Crowded,
-                (false, false) => PassReason::Full,
-            };
-            // Traffic between data centres costs, so a request that can wait here within the
-            // latency objective is not sent to another data centre.
-            let hops = if cold { MAX_COLD_HOPS } else { MAX_PLACE_HOPS };
-            let onward = if !cold && load_sharing(arrival) {
-                self.pass_by_load(arrival, passed, reason)
-            } else if passed.len() < hops {
-                self.pass_on(arrival, env.service, passed, reason)
-            } else {
-                None
-            };
-            if let Some(verdict) = onward {
-                return verdict;
-            }
-            if wait {
-                let purpose = PacketPurpose::Place { passed: Vec::new() };
-                let envelope = Envelope { purpose, ..env.clone() };
-                return Verdict::Wait { terms, envelope, tell: balancer_to_notify(env, passed) };
-            }
+        if requests < u32::from(self.slots) && !crowded && !cold {
+            return None;
+        }
+        let late = cold || crowded || self.would_be_late(&terms, requests, now);
+        let wait = late || self.must_queue(&terms, requests);
+        let reason = match (cold, late) {
+            (true, _) => PassReason::Cold,
+            (false, true) => PassReason::Crowded,
+            (false, false) => PassReason::Full,
+        };
+        if let Some(verdict) = self.pass_from_busy(arrival, passed, reason) {
+            return Some(verdict);
+        }
+        wait.then(|| {
+            let purpose = PacketPurpose::Place { passed: Vec::new() };
+            let envelope = Envelope { purpose, ..env.clone() };
+            Verdict::Wait { terms, envelope, tell: balancer_to_notify(env, passed) }
+        })
+    }
+
+    /// Passes an opening packet to a sibling, by the siblings' loads if load sharing is on and the
+    /// target is not cold.
+    ///
+    /// Traffic between data centres costs, so a request that can wait here within the latency
+    /// objective ([`PassReason::Full`]) is only sent to another data centre by its load.
+    fn pass_from_busy(
+        &mut self,
+        arrival: Arrival<'_>,
+        passed: &[ProcessId],
+        reason: PassReason,
+    ) -> Option<Verdict> {
+        let cold = reason == PassReason::Cold;
+        let hops = if cold { MAX_COLD_HOPS } else { MAX_PLACE_HOPS };
+        if !cold && shares_load(arrival.context, &arrival.seg.flow) {
+            self.pass_by_load(arrival, passed, reason)
+        } else if passed.len() < hops {
+            self.pass_on(arrival, arrival.env.service, passed, reason)
+        } else {
+            None
         }
-        self.deliver_open(seg, env, copies, passed, now)
     }
 
     /// Returns whether a packet would be answered late here, at a full target with `requests`.
--- a/crates/dillmill-core/src/flow/flow_gate/refusing.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/refusing.rs
@@ -32,10 +32,13 @@
         let requests = self.load(now).requests;
         let slots = u32::from(self.slots);
         let full = requests >= slots && self.cold.limit(now).is_none();
-        if !full || self.opens.is_empty() || now.since(self.unservable_sought) < SEARCH_INTERVAL {
+        if !full
+            || self.opens.is_empty()
+            || now.since(self.last_unservable_search) < SEARCH_INTERVAL
+        {
             return Vec::new();
         }
-        self.unservable_sought = now;
+        self.last_unservable_search = now;
         let order = self.opens.in_order(self.work_of(requests + 1), now);
         let turns: Vec<QueuedTurn> =
             order.iter().map(|open| self.queued_turn(open, routes, requests, now)).collect();
--- a/crates/dillmill-core/src/flow/flow_gate/sharing.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/sharing.rs
@@ -4,10 +4,11 @@
 
 use super::opening::balancer_to_notify;
 use super::{Arrival, FlowGate, GateContext, PassReason, Verdict};
+use crate::agent_table::AgentEntry;
 use crate::envelope::{Envelope, PacketPurpose};
 use crate::open_queue::WaitingOpen;
 use crate::rebalancing::{MAX_MOVES, Prospect, better_siblings};
-use crate::{AgentLoad, ProcessId, Timestamp};
+use crate::{AgentLoad, FlowTuple, ProcessId, Timestamp};
 
 /// Number of agents that may pass a new packet on because their targets are full. The next agent gives it
 /// to the target or queues it, and may move it later.
@@ -47,7 +48,7 @@
         passed: &[ProcessId],
     ) -> Option<Verdict> {
         let Arrival { seg, context, now, .. } = arrival;
-        if copies == 0 || passed.len() >= MAX_FOLLOWED || !load_sharing(arrival) {
+        if copies == 0 || passed.len() >= MAX_FOLLOWED || !shares_load(context, &seg.flow) {
             return None;
         }
         let next = self.directory.owner(&seg.flow, seg.ack, now)?.owner;
@@ -75,15 +76,7 @@
         let prospect =
             if reason == PassReason::Full { Prospect::InTime } else { Prospect::Delayed };
         let own = self.agent_load(now);
-        let better = better_siblings(
-            &own,
-            own.wait_of_next(),
-            prospect,
-            self.service,
-            context.agents,
-            context.siblings,
-            now,
-        );
+        let better = self.better_siblings(&own, own.wait_of_next(), prospect, context, now);
         let next = better.into_iter().find(|a| !passed.contains(&a.process))?;
         Some(self.pass_to(next, arrival, self.service, passed, reason))
     }
@@ -130,21 +123,14 @@
         }
         let own = self.agent_load(now);
         let wait = own.wait_of_last();
-        let better = better_siblings(
-            &own,
-            wait,
-            Prospect::Delayed,
-            self.service,
-            context.agents,
-            context.siblings,
-            now,
-        );
-        for next in better {
+        for next in self.better_siblings(&own, wait, Prospect::Delayed, context, now) {
             let load = context.siblings.get(next.process, now)?.load();
             let ahead = load.wait_of_next() + load.work;
             let movable = |open: &WaitingOpen| {
                 let moved = movers(&open.envelope);
-                moved.len() < MAX_MOVES && !moved.contains(&next.process) && shares(context, open)
+                moved.len() < MAX_MOVES
+                    && !moved.contains(&next.process)
+                    && shares_load(context, &open.flow)
             };
             let Some(open) = self.opens.take_movable(ahead, now, movable) else { continue };
             self.record_passed(open.flow, next, now);
@@ -158,16 +144,25 @@
         }
         None
     }
-}
 
-/// Returns whether load sharing is on for the route of a packet.
-pub(super) fn load_sharing(arrival: Arrival<'_>) -> bool {
-    let route = arrival.context.routes.get(arrival.seg.flow.route());
-    route.is_none_or(|route| route.overload.load_sharing)
+    /// Returns the siblings at which one more request waits clearly less than `wait`, the best one
+    /// first.
+    fn better_siblings<'a>(
+        &self,
+        own: &AgentLoad,
+        wait: Duration,
+        prospect: Prospect,
+        context: GateContext<'a>,
+        now: Timestamp,
+    ) -> Vec<&'a AgentEntry> {
+        let GateContext { agents, siblings, .. } = context;
+        better_siblings(own, wait, prospect, self.service, agents, siblings, now)
+    }
 }
 
-fn shares(context: GateContext<'_>, open: &WaitingOpen) -> bool {
-    context.routes.get(open.flow.route()).is_none_or(|route| route.overload.load_sharing)
+/// Returns whether load sharing is on for the route of a flow.
+pub(super) fn shares_load(context: GateContext<'_>, flow: &FlowTuple) -> bool {
+    context.routes.get(flow.route()).is_none_or(|route| route.overload.load_sharing)
 }
 
 /// Returns the agents that have moved a waiting packet.
--- a/crates/dillmill-core/src/flow/route_table.rs
+++ b/crates/dillmill-core/src/flow/route_table.rs
@@ -48,7 +48,7 @@
 
     /// Returns the priority by which waiting requests are ordered: the lowest if priority order is
     /// off for the route.
-    fn effective_priority(&self) -> Priority {
+    pub(crate) fn effective_priority(&self) -> Priority {
         if self.overload.priority_order { self.priority } else { Priority::LOWEST }
     }
 
--- a/crates/dillmill-core/src/load/admission_level.rs
+++ b/crates/dillmill-core/src/load/admission_level.rs
@@ -13,7 +13,7 @@
 
 use crate::attempt_timeout::MAX_ATTEMPT_TIMEOUT;
 use crate::placement::LoadReport;
-use crate::{FlowTuple, PRIORITY_CLASSES, Percent, Priority, ProcessId, RouteEntry, Timestamp};
+use crate::{FlowTuple, PRIORITY_CLASSES, Percent, ProcessId, RouteEntry, Timestamp};
 
 /// Interval at which the refused share changes.
 const STEP: Duration = Duration::from_millis(100);
@@ -118,7 +118,8 @@
             return None;
         }
         let timeout = route.timeout.unwrap_or(MAX_ATTEMPT_TIMEOUT);
-        let class = class_of(route);
+        // Without the order by priority, requests of the route wait behind all others.
+        let class = route.effective_priority().class();
         self.classes[class].note_flow(timeout, now);
         let wait = self.shortest_wait(class, now)?;
         if wait <= first_refused_wait(timeout) || !self.lower_saturated(class, now) {
@@ -181,13 +182,6 @@
     }
 }
 
-/// Returns the class in which requests of `route` wait. Without the order by priority, they wait
-/// behind all others.
-fn class_of(route: &RouteEntry) -> usize {
-    let priority = if route.overload.priority_order { route.priority } else { Priority::LOWEST };
-    priority.class()
-}
-
 /// Returns the expected wait of one more request of `class` at an agent.
 fn expected_wait(report: &LoadReport, class: usize) -> Duration {
     // The many requests after a restart end with the cold period and are no sustained demand.
