--- a/crates/dillmill-core/src/load/agent_load.rs
+++ b/crates/dillmill-core/src/load/agent_load.rs
@@ -1,4 +1,5 @@
-//! Load of one agent, as far as it determines how long one more request waits there.
+//! Computes how long one more request waits at an agent, from the requests there and the speed of the
+//! target.
 
 use std::time::Duration;
 
--- a/crates/dillmill-core/src/load/placement.rs
+++ b/crates/dillmill-core/src/load/placement.rs
@@ -35,7 +35,7 @@
     LeastLoaded,
 }
 
-/// Load report that an agent sends to its siblings about its own target.
+/// Load report that an agent sends to its siblings and to balancers about its own target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// The agent.
--- a/crates/dillmill-core/src/load/priority.rs
+++ b/crates/dillmill-core/src/load/priority.rs
@@ -1,4 +1,4 @@
-//! Priority of the requests on a route.
+//! Defines the priority of the requests on a route, and the classes in which load reports count them.
 
 use std::fmt;
 use std::num::ParseIntError;
--- a/crates/dillmill-core/src/target/tracked_flow.rs
+++ b/crates/dillmill-core/src/target/tracked_flow.rs
@@ -1,4 +1,4 @@
-//! What an agent tracks of one flow of its target.
+//! Defines the state that an agent tracks of one flow of its target.
 
 use std::time::Duration;
 
--- a/crates/dillmill-core/tests/admission_levels.rs
+++ b/crates/dillmill-core/tests/admission_levels.rs
@@ -1,4 +1,5 @@
-//! Tests which new flows a balancer refuses by the load reports of a service's agents.
+//! Tests which new flows a balancer refuses by the load reports of a service's agents. Guards against
+//! refusals while some agent has a short wait, and of high priority before low.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/dillmill-core/tests/priority_orders.rs
+++ b/crates/dillmill-core/tests/priority_orders.rs
@@ -1,4 +1,5 @@
-//! Tests the order of waiting requests by priority, and which packets wait at an agent.
+//! Tests the order of waiting requests by priority, and which packets wait at an agent. Guards against
+//! requests that overtake those of higher priority, and against priority that makes others late in vain.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/dillmill-core/tests/target_capacity.rs
+++ b/crates/dillmill-core/tests/target_capacity.rs
@@ -1,4 +1,6 @@
 //! Tests what callers get where targets differ in speed and their reports are old, in virtual time.
+//! Guards against balancers that send slow targets as many flows as fast ones, so that answers are late
+//! while fast targets have free slots.
 
 use std::ops::RangeInclusive;
 
--- a/crates/dillmill-core/tests/target_speeds.rs
+++ b/crates/dillmill-core/tests/target_speeds.rs
@@ -1,5 +1,6 @@
 //! Tests the estimates of a target's speed and of the load that its open flows bring, and which routes
-//! count as having long-lived flows.
+//! count as having long-lived flows. Guards against targets that are taken for slow or fast after a few
+//! unusual answers or another mix of routes.
 
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
--- a/crates/dillmill-core/tests/unservable_packets.rs
+++ b/crates/dillmill-core/tests/unservable_packets.rs
@@ -1,5 +1,5 @@
 //! Tests which waiting packets an agent refuses because they can't be served within their callers'
-//! attempts.
+//! attempts. Guards against refusals that cost callers an answer which they could still have got.
 
 use std::time::Duration;
 
