--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use cyper::Client;
-use dillmill_core::{Interval, LinkRate, Revision, ServiceName, Weight};
+use dillmill_core::{Interval, LinkRate, Priority, Revision, ServiceName, Weight};
 use dillmill_platform::{
     Freshness, LeaseId, ProcessSettings, Store, Transaction, document, operator_key,
 };
@@ -40,9 +40,14 @@
 /// Port of the first route that no caller uses.
 const FIRST_UNUSED_PORT: u16 = 1001;
 
+/// Timeout and latency objective of the routes of a fleet with overload.
+const REQUEST_TIMEOUT: Interval = Interval::from_millis(1200);
+const LATENCY_OBJECTIVE: Interval = Interval::from_millis(250);
+
 /// A running fleet; all of its processes end when it is dropped.
 pub struct FlowFleet {
     dir: TempDir,
+    layout: FleetLayout,
     subnet: Subnet,
     vms: BTreeMap<String, Vm>,
     store: Store,
@@ -132,7 +137,7 @@
             .collect();
         let router = Rc::new(FlowRouter::spawn(&entry));
         let mut fleet =
-            Self { dir, subnet, vms, store, _store_process: store_process, proxy, router };
+            Self { dir, layout, subnet, vms, store, _store_process: store_process, proxy, router };
         fleet.wait_for_store().await?;
         fleet.set_route(1, services[0].0).await?;
         let names: Vec<String> = fleet.vms.keys().cloned().collect();
@@ -189,6 +194,15 @@
         others: &[&str],
     ) -> Result<(), StandinError> {
         let mut routes = vec![route("main", self.route(), service)?];
+        if self.layout.overload {
+            let urgent = route("urgent", self.urgent_route(), service)?;
+            routes[0].priority = Some(Priority(2));
+            routes.push(Route { priority: Some(Priority(1)), ..urgent });
+            for route in &mut routes {
+                route.timeout = Some(REQUEST_TIMEOUT);
+                route.latency_aim = Some(LATENCY_OBJECTIVE);
+            }
+        }
         for (port, other) in (FIRST_UNUSED_PORT..).zip(others) {
             let address = SocketAddrV4::new(*self.route().ip(), port);
             routes.push(route(&format!("unused-{port}"), address, other)?);
@@ -253,6 +267,12 @@
         SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
     }
 
+    /// Returns the address of the route of higher priority, which a fleet with overload has in addition.
+    #[must_use]
+    pub fn urgent_route(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(*self.route().ip(), 444)
+    }
+
     /// Returns the proxy between all processes and the store.
     #[must_use]
     pub fn proxy(&self) -> &FlowProxy {
--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -51,10 +51,11 @@
         id: &str,
         silence: Duration,
     ) -> Result<(), StandinError> {
+        let capacity = self.layout.capacity();
         let vm = self.vm(name)?;
         let run = match vm.target.take() {
-            Some(previous) => previous.replace(&vm.settings, id, silence).await?,
-            None => FlowTarget::spawn(&vm.settings, id, silence).await?,
+            Some(previous) => previous.replace(&vm.settings, id, silence, capacity).await?,
+            None => FlowTarget::spawn(&vm.settings, id, silence, capacity).await?,
         };
         vm.target = Some(run);
         Ok(())
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -38,6 +38,9 @@
 /// Seeds from this one on run in two data centres, one of which is evacuated from time to time.
 const FIRST_ZONES_SEED: u64 = 400;
 const ZONES: u8 = 2;
+/// Seeds from this one on run with routes of two priorities, to targets of few slots that take time for a
+/// request.
+const FIRST_OVERLOAD_SEED: u64 = 500;
 
 /// Runs a soak for `length` with all random choices drawn from `seed`.
 ///
@@ -49,7 +52,8 @@
     let link = THIN_LINK.parse().ok().filter(|_| seed >= FIRST_THIN_LINK_SEED);
     let services = SERVICES.map(|s| (s, TARGETS));
     let zones = if seed >= FIRST_ZONES_SEED { ZONES } else { 1 };
-    let layout = FleetLayout { link, zones };
+    let overload = seed >= FIRST_OVERLOAD_SEED;
+    let layout = FleetLayout { link, zones, overload };
     let mut fleet = FlowFleet::start_with_layout(layout, BALANCERS, &services).await?;
     let started = Instant::now();
     let names: Vec<String> = SERVICES
@@ -67,8 +71,8 @@
     let mut tasks = Vec::new();
     for n in 0..CALLERS {
         let caller = fleet.caller(n).await?;
-        let load =
-            run_caller(caller, fleet.route(), expectations.clone(), rng.random(), started + length);
+        let route = if overload && n % 2 == 0 { fleet.urgent_route() } else { fleet.route() };
+        let load = run_caller(caller, route, expectations.clone(), rng.random(), started + length);
         tasks.push(compio::runtime::spawn(load));
     }
     let mut faults =
--- a/crates/dillmill-standins/src/flow_target.rs
+++ b/crates/dillmill-standins/src/flow_target.rs
@@ -2,10 +2,10 @@
 //! hold, and sends heartbeats to its agent.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use compio::buf::BufResult;
 use compio::net::{TcpListener, UdpSocket};
@@ -18,6 +18,7 @@
 use rand::Rng;
 
 use crate::StandinError;
+use crate::target_capacity::TargetCapacity;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 const MAX_DATAGRAM: usize = 2048;
@@ -37,12 +38,24 @@
     /// Executed requests: flow and sequence number of the first byte.
     executed: BTreeSet<(FlowTuple, u32)>,
     acknowledged: Option<TargetState>,
+    capacity: TargetCapacity,
+    /// Times at which the requests that take the slots end, in order.
+    busy_until: VecDeque<Instant>,
+    /// Requests that are not answered yet.
+    unanswered: HashSet<(FlowTuple, u32)>,
+}
+
+/// Answer of a request that takes time.
+struct Answer {
+    due: Instant,
+    request: (FlowTuple, u32),
+    packet: Vec<u8>,
 }
 
 /// A running target; its tasks end when it is dropped.
 pub struct FlowTarget {
     state: Rc<RefCell<State>>,
-    tasks: [JoinHandle<()>; 3],
+    tasks: [JoinHandle<()>; 4],
     socket: UdpSocket,
     health: TcpListener,
 }
@@ -58,12 +71,13 @@
         settings: &ProcessSettings,
         id: &str,
         silence: Duration,
+        capacity: TargetCapacity,
     ) -> Result<Self, StandinError> {
         let step = format!("start target {id}");
         let app = settings.target.ok_or_else(|| missing_address(id))?;
         let socket = UdpSocket::bind(app).await.map_err(StandinError::at(step.clone()))?;
         let health = TcpListener::bind(app).await.map_err(StandinError::at(step))?;
-        Self::run(settings, id, silence, socket, health)
+        Self::run(settings, id, silence, capacity, (socket, health))
     }
 
     /// Ends this run of the target and starts another one as [`spawn`](Self::spawn) does.
@@ -80,19 +94,20 @@
         settings: &ProcessSettings,
         id: &str,
         silence: Duration,
+        capacity: TargetCapacity,
     ) -> Result<Self, StandinError> {
         for task in self.tasks {
             task.cancel().await;
         }
-        Self::run(settings, id, silence, self.socket, self.health)
+        Self::run(settings, id, silence, capacity, (self.socket, self.health))
     }
 
     fn run(
         settings: &ProcessSettings,
         id: &str,
         silence: Duration,
-        socket: UdpSocket,
-        health: TcpListener,
+        capacity: TargetCapacity,
+        (socket, health): (UdpSocket, TcpListener),
     ) -> Result<Self, StandinError> {
         let missing = || missing_address(id);
         let app = settings.target.ok_or_else(missing)?;
@@ -111,11 +126,18 @@
             returned_packets: 0,
             executed: BTreeSet::new(),
             acknowledged: None,
+            capacity,
+            busy_until: VecDeque::new(),
+            unanswered: HashSet::new(),
         }));
-        let packets = receive_packets(socket.clone(), SocketAddr::V4(outbound), state.clone());
+        let outbound = SocketAddr::V4(outbound);
+        let (tx, rx) = flume::unbounded();
+        let packets = receive_packets(socket.clone(), outbound, state.clone(), tx);
+        let answers = send_answers(socket.clone(), outbound, state.clone(), rx);
         let url = format!("http://{heartbeats}{TARGET_PATH}/{}", reported_id(id));
         let tasks = [
             compio::runtime::spawn(packets),
+            compio::runtime::spawn(answers),
             compio::runtime::spawn(accept(health.clone())),
             compio::runtime::spawn(send_heartbeats(url, silence, state.clone())),
         ];
@@ -185,21 +207,55 @@
     }
 }
 
-async fn receive_packets(socket: UdpSocket, outbound: SocketAddr, state: Rc<RefCell<State>>) {
+async fn receive_packets(
+    socket: UdpSocket,
+    outbound: SocketAddr,
+    state: Rc<RefCell<State>>,
+    answers: flume::Sender<Answer>,
+) {
     loop {
         let BufResult(outcome, buf) = socket.recv_from(Vec::with_capacity(MAX_DATAGRAM)).await;
         if outcome.is_err() {
             continue;
         }
-        let Some(answer) = state.borrow_mut().handle_packet(buf) else { continue };
+        let Some(packet) = state.borrow_mut().handle_packet(buf, &answers) else { continue };
         // A datagram that can't be sent counts as lost.
-        let BufResult(_, _) = socket.send_to(answer, outbound).await;
+        let BufResult(_, _) = socket.send_to(packet, outbound).await;
+    }
+}
+
+/// Sends the answers of requests that take time, when they are due.
+async fn send_answers(
+    socket: UdpSocket,
+    outbound: SocketAddr,
+    state: Rc<RefCell<State>>,
+    answers: flume::Receiver<Answer>,
+) {
+    while let Ok(Answer { due, request, packet }) = answers.recv_async().await {
+        compio::time::sleep(due.saturating_duration_since(Instant::now())).await;
+        state.borrow_mut().unanswered.remove(&request);
+        // A datagram that can't be sent counts as lost.
+        let BufResult(_, _) = socket.send_to(packet, outbound).await;
     }
 }
 
 impl State {
+    /// Returns the time at which a request that arrives now ends. Requests take the slots in order of arrival.
+    fn take_slot(&mut self) -> Instant {
+        let slots = usize::from(self.capacity.slots);
+        let free = if self.busy_until.len() < slots { None } else { self.busy_until.pop_front() };
+        let start = free.map_or_else(Instant::now, |at| at.max(Instant::now()));
+        let end = start + self.capacity.service_time;
+        self.busy_until.push_back(end);
+        end
+    }
+
     /// Processes a packet from a caller and returns the packet to send, if any.
-    fn handle_packet(&mut self, mut buf: Vec<u8>) -> Option<Vec<u8>> {
+    fn handle_packet(
+        &mut self,
+        mut buf: Vec<u8>,
+        answers: &flume::Sender<Answer>,
+    ) -> Option<Vec<u8>> {
         let seg = packet::decode(&buf, Sender::Caller).ok()?;
         let held = self.flows.get(&seg.flow).copied();
         match (seg.kind, held) {
@@ -209,15 +265,21 @@
                 Some(answer(&seg, SegmentKind::Accept, initial_seq, seg.seq.wrapping_add(1), b""))
             }
             (SegmentKind::Data, Some(initial_seq)) if seg.len > 0 => {
-                self.executed.insert((seg.flow, seg.seq));
+                let request = (seg.flow, seg.seq);
+                let copy = !self.executed.insert(request);
                 let ack = seg.seq.wrapping_add(u32::from(seg.len));
-                Some(answer(
-                    &seg,
-                    SegmentKind::Data,
-                    seg.ack.max(initial_seq),
-                    ack,
-                    self.id.as_bytes(),
-                ))
+                let seq = seg.ack.max(initial_seq);
+                let packet = answer(&seg, SegmentKind::Data, seq, ack, self.id.as_bytes());
+                if copy && self.unanswered.contains(&request) {
+                    return None;
+                }
+                if copy || self.capacity.service_time.is_zero() {
+                    return Some(packet);
+                }
+                self.unanswered.insert(request);
+                // Fails only if this run of the target has ended.
+                let _ = answers.send(Answer { due: self.take_slot(), request, packet });
+                None
             }
             (SegmentKind::Data, Some(_)) => {
                 self.opened += 1;
@@ -253,7 +315,7 @@
                 address: state.address,
                 zone: state.zone.clone(),
                 version: "v1".to_owned(),
-                slots: 5,
+                slots: state.capacity.slots,
                 state: state.announced,
                 cold_ms: 0,
                 number,
--- a/crates/dillmill-standins/src/lib.rs
+++ b/crates/dillmill-standins/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod slopes;
 mod subnet;
 pub mod target;
+mod target_capacity;
 pub mod traffic;
 pub mod usage;
 pub mod waiting;
--- a/crates/dillmill-standins/tests/evacuated_fleets.rs
+++ b/crates/dillmill-standins/tests/evacuated_fleets.rs
@@ -9,7 +9,7 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Targets alternate between `zone-1` and `zone-2`.
-const LAYOUT: FleetLayout = FleetLayout { link: None, zones: 2 };
+const LAYOUT: FleetLayout = FleetLayout { link: None, zones: 2, overload: false };
 /// VMs of the targets in `zone-2`, which the tests evacuate.
 const EVACUATED_VMS: [&str; 2] = ["orders-2", "orders-4"];
 
--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -8,7 +8,8 @@
 //! - 48: a new flow was answered by the next service of the route before the soak had recorded the change;
 //!   this was a fault of the soak itself.
 //!
-//! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn.
+//! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
+//! with routes of two priorities to targets of few slots.
 
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use rstest::rstest;
 
 #[rstest]
-fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401)] seed: u64) {
+fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501)] seed: u64) {
     let runtime = compio::runtime::Runtime::new().unwrap();
     let length = Duration::from_secs(8);
     let report = runtime.block_on(flow_soak::run(seed, length)).unwrap();
