test(standins): the soak opens bursts of flows and kills agents at which packets wait

After each burst the queue of each agent must become empty. All bursts use one host of callers, so that ports of flows that targets still hold are not used again.

--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -3,6 +3,7 @@
 //!
 //! All random choices come from the seed; the interleaving of processes and callers does not.
 
+mod burst;
 mod expectations;
 mod faults;
 mod soak_report;
@@ -75,8 +76,16 @@
         let load = run_caller(caller, route, expectations.clone(), rng.random(), started + length);
         tasks.push(compio::runtime::spawn(load));
     }
-    let mut faults =
-        Faults { rng, names, expectations: expectations.clone(), runs: 0, version: 1, zones };
+    let mut faults = Faults {
+        rng,
+        names,
+        expectations: expectations.clone(),
+        runs: 0,
+        version: 1,
+        zones,
+        overload,
+        burst_caller: Rc::new(fleet.caller(CALLERS + 1).await?),
+    };
     while started.elapsed() < length {
         faults.next(&mut fleet).await?;
         let pause = faults.rng.random_range(50..700);
--- a/crates/dillmill-standins/src/flow_soak/faults.rs
+++ b/crates/dillmill-standins/src/flow_soak/faults.rs
@@ -1,6 +1,7 @@
 //! Fault injection of the soak.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -11,7 +12,7 @@
 use crate::flow_fleet::wait;
 use crate::flow_proxy::ProxyMode;
 use crate::platform::PlatformFaults;
-use crate::{FlowFleet, StandinError};
+use crate::{FlowCaller, FlowFleet, StandinError};
 
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -23,6 +24,10 @@
     pub(super) runs: u32,
     pub(super) version: u64,
     pub(super) zones: u8,
+    pub(super) overload: bool,
+    /// Host of the callers of all bursts. A new host for each burst would use the ports of earlier flows
+    /// again, which targets hold until the idle timeout.
+    pub(super) burst_caller: Rc<FlowCaller>,
 }
 
 impl Faults {
@@ -35,19 +40,23 @@
         }
     }
 
-    fn record_fault(&self, vm: &str, what: &str) {
+    pub(super) fn record_fault(&self, vm: &str, what: &str) {
         let mut expectations = self.expectations.borrow_mut();
         expectations.log_action(&format!("{what} {vm}"));
         expectations.last_faults.insert(vm.to_owned(), Instant::now());
     }
 
-    fn random_delay(&mut self, most_ms: u64) -> Duration {
+    pub(super) fn random_delay(&mut self, most_ms: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(20..most_ms))
     }
 
     /// Injects one random fault.
     pub(super) async fn next(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
-        let kinds = if self.zones > 1 { 15 } else { 12 };
+        let kinds = match (self.zones, self.overload) {
+            (_, true) => 19,
+            (1, false) => 12,
+            (_, false) => 15,
+        };
         match self.rng.random_range(0..kinds) {
             0 | 1 => self.kill(fleet).await,
             2 => self.stop(fleet).await,
@@ -57,7 +66,9 @@
             7 | 8 => self.change_route(fleet).await,
             9 => self.break_store(fleet).await,
             10 => self.break_proxy(fleet).await,
-            12.. => self.evacuate(fleet).await,
+            12..=14 => self.evacuate(fleet).await,
+            15 | 16 => self.burst(fleet, false).await,
+            17.. => self.burst(fleet, true).await,
             _ => {
                 let vm = self.random_vm();
                 self.expectations.borrow_mut().log_action(&format!("hang up {vm}"));
--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -9,7 +9,8 @@
 //!   this was a fault of the soak itself.
 //!
 //! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
-//! with routes of two priorities to targets of few slots.
+//! with routes of two priorities to targets of few slots. With seed 504 many flows are opened at the same
+//! time, with seed 503 an agent is killed at which packets of such a burst wait.
 
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 use rstest::rstest;
 
 #[rstest]
-fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501)] seed: u64) {
+fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504)] seed: u64) {
     let runtime = compio::runtime::Runtime::new().unwrap();
     let length = Duration::from_secs(8);
     let report = runtime.block_on(flow_soak::run(seed, length)).unwrap();
