--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -7,8 +7,12 @@
 //!   see docs/QUESTIONS.md.
 //! - 48: a new flow was answered by the next service of the route before the soak had recorded the change;
 //!   this was a fault of the soak itself.
+//! - 504: a guarantee was violated in one of nine runs in which each burst used the ports of earlier flows
+//!   again. Which one is not known, nor whether the ports were the cause.
 //!
-//! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn.
+//! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
+//! with routes of two priorities to targets of few slots. With seed 504 many flows are opened at the same
+//! time, with seed 503 an agent is killed at which packets of such a burst wait.
 
 use std::time::Duration;
 
@@ -16,7 +20,7 @@
 use rstest::rstest;
 
 #[rstest]
-fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401)] seed: u64) {
+fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504)] seed: u64) {
     let runtime = compio::runtime::Runtime::new().unwrap();
     let length = Duration::from_secs(8);
     let report = runtime.block_on(flow_soak::run(seed, length)).unwrap();
