--- a/crates/dillmill-core/src/load/open_queue/choice.rs
+++ b/crates/dillmill-core/src/load/open_queue/choice.rs
@@ -92,17 +92,18 @@
     }
 }
 
-/// Number of late requests for each that can be in time from which an overload counts as lasting. A
-/// short burst leaves fewer, and newest first would make requests late that could all be in time.
-const LATE_PER_IN_TIME: usize = 4;
+/// Minimum number of late requests in an overload that lasts: some 300 ms of work for a target with 3
+/// slots, about the latency objective. A short burst leaves fewer, and newest first would make requests
+/// late that could all be in time.
+const MIN_LATE: usize = 20;
 
-/// Returns whether far more requests are late than can be in time, as in an overload that lasts.
+/// Returns whether so many requests are late that the overload lasts, and more than can be in time.
 ///
 /// The one with the least time left goes first to carry all requests through a short burst. If the
 /// target can't keep up, that order brings each request to the end of its time before it is served,
 /// and makes all of them late. The newest first then keeps most in time.
 fn is_overloaded(ranks: &[Rank]) -> bool {
     let count = |of: fn(&Rank) -> bool| ranks.iter().filter(|rank| of(rank)).count();
-    let in_time = count(|rank| matches!(rank, Rank::InTime(..)));
-    count(|rank| matches!(rank, Rank::Late(..))) > in_time * LATE_PER_IN_TIME
+    let late = count(|rank| matches!(rank, Rank::Late(..)));
+    late >= MIN_LATE && late > count(|rank| matches!(rank, Rank::InTime(..)))
 }
