--- a/crates/dillmill-core/src/flow/flow_gate/sharing.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/sharing.rs
@@ -18,7 +18,7 @@
 const MAX_FOLLOWED: usize = MAX_PASSES + MAX_MOVES;
 
 /// Time after its start in which an agent does not share load. After a restart of all processes,
-/// processor time is scarce and all queues are long: moving packets took time from serving them.
+/// processor time is scarce and all queues are long. Moving packets is assumed to cost too much then.
 pub(super) const SHARING_START_DELAY: Duration = Duration::from_secs(5);
 
 impl FlowGate {
