fix(flow): targets of a newly named service serve from the first new flow

Change: an agent hears targets of its own service always; the last refused heartbeat of another service is kept for 2.5 intervals and applied once its service is named; a balancer keeps opening packets of a service that was first named in the last 0.5 s and has no agent yet, as it does in its first 2 s.

--- a/crates/dillmill-core/src/flow/route_table.rs
+++ b/crates/dillmill-core/src/flow/route_table.rs
@@ -124,6 +124,17 @@
         self.services.contains(&service) || self.routes.iter().any(of_route)
     }
 
+    /// Returns the services that get new flows by these routes and that `before` does not name.
+    #[must_use]
+    pub fn first_named(&self, before: &Self) -> Vec<ServiceTag> {
+        let shares = self.routes.iter().flat_map(|(_, entry)| &entry.shares);
+        let mut new: Vec<ServiceTag> =
+            shares.map(|(service, _)| *service).filter(|s| !before.names(*s)).collect();
+        new.sort_unstable();
+        new.dedup();
+        new
+    }
+
     /// Returns whether any route of `service` has load sharing on, or no route of the service is known.
     #[must_use]
     pub fn shares_load(&self, service: ServiceTag) -> bool {
--- a/crates/dillmill-core/src/target/target_runs.rs
+++ b/crates/dillmill-core/src/target/target_runs.rs
@@ -147,9 +147,14 @@
         self.replace(run, number, predecessor, now)
     }
 
+    /// Returns whether a run whose last heartbeat came at `last_heard` may have ended.
+    #[must_use]
+    pub fn is_overdue(&self, last_heard: Timestamp, now: Timestamp) -> bool {
+        now.since(last_heard) >= self.interval.mul_f64(HEARTBEATS_MISSED)
+    }
+
     fn current_is_live(&self, now: Timestamp) -> bool {
-        let limit = self.interval.mul_f64(HEARTBEATS_MISSED);
-        self.current.as_ref().is_some_and(|run| now.since(run.last_heard) < limit)
+        self.current.as_ref().is_some_and(|run| !self.is_overdue(run.last_heard, now))
     }
 
     fn replace(
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -30,6 +30,7 @@
 use futures_util::stream::{self, StreamExt};
 
 pub(crate) use announcement::Announcement;
+use heartbeats::EarlyHeartbeat;
 
 use crate::decision_log::DecisionLog;
 use crate::flow_metrics::AgentCounters;
@@ -118,6 +119,7 @@
     exchanges: ExchangeRounds,
     siblings: SiblingLoads,
     runs: TargetRuns,
+    early_heartbeat: Option<EarlyHeartbeat>,
     /// Caller packets with which the target is queried for the flows that it holds.
     caller_packets: CallerPackets,
     health: TargetHealth,
@@ -174,6 +176,7 @@
             exchanges: ExchangeRounds::default(),
             siblings: SiblingLoads::new(),
             runs: TargetRuns::new(settings.heartbeat_every),
+            early_heartbeat: None,
             caller_packets: CallerPackets::default(),
             health: TargetHealth::Sound,
             announced: announcement.clone(),
@@ -218,6 +221,7 @@
             }
             if let Some(view) = self.views.newer() {
                 self.apply_view(&view, now);
+                self.apply_early_heartbeat(now).await;
             }
             match event {
                 Event::FromNetwork(buf) => {
--- a/crates/dillmill-flow/src/agent_task/heartbeats.rs
+++ b/crates/dillmill-flow/src/agent_task/heartbeats.rs
@@ -14,6 +14,14 @@
 
 use super::{AgentTask, TargetHealth};
 
+/// A heartbeat that was refused because the configuration did not name its service yet.
+#[derive(Debug)]
+pub(super) struct EarlyHeartbeat {
+    run: TargetRun,
+    heartbeat: Heartbeat,
+    at: Timestamp,
+}
+
 impl AgentTask {
     pub(super) fn apply_presence(&mut self, presence: TargetPresence) {
         let standing = self.gate.standing();
@@ -41,14 +49,14 @@
             EndpointCall::Target(TargetCall::Heartbeat { run, heartbeat }, tx) => {
                 if let Some(reason) = self.rejection_reason(&run, &heartbeat) {
                     self.reject_call(&format!("heartbeat of {run}: {reason}"), now);
+                    self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, at: now });
                     // Fails only if the caller has disconnected.
                     let _ = tx.send(CallOutcome::Refused);
                     return;
                 }
                 let change = self.apply_heartbeat(&run, &heartbeat, now);
                 let _ = tx.send(CallOutcome::Acknowledged);
-                self.reset_ended_flows(&change.ended, now).await;
-                self.query_target_flows(change.in_doubt, now).await;
+                self.apply_run_change(change, now).await;
             }
             EndpointCall::Target(TargetCall::Leave { run }, tx) => {
                 let announced = self.gate.standing() == TargetStanding::Leaving;
@@ -70,8 +78,34 @@
         }
     }
 
+    async fn apply_run_change(&mut self, change: RunChange, now: Timestamp) {
+        self.reset_ended_flows(&change.ended, now).await;
+        self.query_target_flows(change.in_doubt, now).await;
+    }
+
+    /// Applies the last refused heartbeat if the configuration names its service by now. New flows of the
+    /// service are refused until an agent announces a target, so the target's next heartbeat is too late.
+    pub(super) async fn apply_early_heartbeat(&mut self, now: Timestamp) {
+        let Some(EarlyHeartbeat { run, heartbeat, at }) = self.early_heartbeat.take() else {
+            return;
+        };
+        if self.runs.is_overdue(at, now) {
+            return;
+        }
+        if self.rejection_reason(&run, &heartbeat).is_some() {
+            self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, at });
+            return;
+        }
+        let what = format!("heartbeat {} of target {run}", heartbeat.number);
+        let cause = format!("the configuration names service {}", heartbeat.service);
+        self.handle.journal.record(EventKind::Member, what, cause);
+        let change = self.apply_heartbeat(&run, &heartbeat, now);
+        self.apply_run_change(change, now).await;
+        self.announce(now);
+    }
+
     /// Returns why a heartbeat can't come from a valid target: a run of a target serves one service until
-    /// it ends, and a new run must serve a service that the configuration names.
+    /// it ends, and a new run must serve the service of this agent or one that the configuration names.
     fn rejection_reason(&self, run: &TargetRun, heartbeat: &Heartbeat) -> Option<String> {
         let service = &heartbeat.service;
         if self.runs.is_current(run) {
@@ -79,8 +113,9 @@
             return other.then(|| format!("service {service}, not {}", self.service));
         }
         let tag = ServiceTag::from(service);
-        let unknown = !self.routes.is_empty() && !self.routes.names(tag);
-        unknown.then(|| format!("service {service}, which the configuration does not name"))
+        let known = *service == self.service || self.routes.names(tag);
+        (!known && !self.routes.is_empty())
+            .then(|| format!("service {service}, which the configuration does not name"))
     }
 
     fn reject_call(&mut self, reason: &str, now: Timestamp) {
@@ -133,6 +168,7 @@
                 self.start_run(run, heartbeat, predecessor, now)
             }
         };
+        self.early_heartbeat = None;
         self.gate.heard();
         self.gate.set_cold(Duration::from_millis(heartbeat.cold_ms), now);
         let standing = match heartbeat.state {
--- a/crates/dillmill-flow/src/balancer_task.rs
+++ b/crates/dillmill-flow/src/balancer_task.rs
@@ -27,6 +27,7 @@
 use crate::sockets::{datagrams, ticks};
 use crate::uplink::{Uplink, traffic_kind};
 
+mod early;
 mod opening;
 mod overload;
 mod searching;
@@ -71,6 +72,8 @@
     /// Refused shares of new flows under overload, by service.
     levels: HashMap<ServiceTag, AdmissionLevel>,
     early_packets: EarlyPackets,
+    /// When the routes first named each service; kept for [`early::FIRST_AGENTS_PERIOD`].
+    first_named: HashMap<ServiceTag, Timestamp>,
     control: SocketAddrV4,
     zone: ZoneName,
     caller_port: u16,
@@ -116,6 +119,7 @@
             admission: LinkAdmission::new(settings.link, now),
             levels: HashMap::new(),
             early_packets: EarlyPackets::default(),
+            first_named: HashMap::new(),
             control,
             zone: settings.zone.clone(),
             caller_port: settings.packets.port(),
@@ -185,7 +189,9 @@
             && view.evacuations.is_some()
             && routes.revision() > self.routes.revision
         {
-            self.routes = Arc::new(routes.table().after(&self.routes));
+            let table = routes.table().after(&self.routes);
+            self.note_first_named(&table, now);
+            self.routes = Arc::new(table);
         }
     }
 
@@ -194,25 +200,6 @@
         !self.routes.is_empty() && !self.agents.is_empty()
     }
 
-    /// Routes the packets that came before the routes and agents for them were known.
-    async fn route_early_packets(&mut self, now: Timestamp) {
-        for EarlyPacket { at, buf } in self.early_packets.take_due(now) {
-            if let Ok(seg) = packet::decode(&buf, Sender::Caller) {
-                self.route_packet(&seg, &buf, at, now).await;
-            }
-        }
-    }
-
-    /// Returns whether a packet should wait because this process has only just started: it does not know
-    /// the routes yet, or no agent with slots that takes new flows of the packet's route.
-    fn is_early(&self, seg: &Segment, now: Timestamp) -> bool {
-        if now.since(self.started) >= STARTUP_PERIOD {
-            return false;
-        }
-        let Some(route) = self.routes.get(seg.flow.route()) else { return self.routes.is_empty() };
-        !route.services().into_iter().any(|s| self.agents.taking_new(s).any(|a| a.slots > 0))
-    }
-
     async fn tick(&mut self, now: Timestamp) {
         self.step_levels(now);
         self.open_queued(now).await;
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -56,6 +56,15 @@
     router: Rc<FlowRouter>,
 }
 
+impl Drop for FlowFleet {
+    /// Keeps the logs if a panic drops the fleet, as when a test fails.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.keep_logs().display());
+        }
+    }
+}
+
 impl FlowFleet {
     /// Keeps the folder with the logs of all processes after the fleet is dropped, and returns its path.
     pub fn keep_logs(&mut self) -> PathBuf {
@@ -180,9 +189,7 @@
     /// Writes a configuration as [`set_route`](Self::set_route) does, with a route that no caller uses for
     /// each of `others`.
     ///
-    /// Agents refuse heartbeats of a service that the configuration does not name, so without such a route
-    /// the targets of a service begin to serve only some time after the route has been led to them, and new
-    /// flows are refused until then.
+    /// Agents refuse heartbeats of another service than their own if the configuration does not name it.
     ///
     /// # Errors
     ///
--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -61,6 +61,17 @@
         Ok(())
     }
 
+    /// Sets the service of the next target of a VM. Its running agent keeps its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such VM or service name.
+    pub fn set_service(&mut self, name: &str, service: &str) -> Result<(), StandinError> {
+        let service = service.parse().map_err(StandinError::at("name a service"))?;
+        self.vm(name)?.settings.service = Some(service);
+        Ok(())
+    }
+
     /// Returns the target of a VM.
     ///
     /// # Errors
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -1,7 +1,7 @@
 //! Tests of packet flows through real processes, observed by callers while balancers, agents, targets,
 //! settings and the store change or fail.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dillmill_core::store_selection::WATCHERS;
 use dillmill_standins::flow_fleet::wait;
@@ -40,7 +40,7 @@
     fleet: &FlowFleet,
 ) -> Result<Vec<OpenFlow<'a>>, StandinError> {
     let mut flows = open(caller, fleet, 6).await;
-    let started = std::time::Instant::now();
+    let started = Instant::now();
     while fleet.target("orders-1")?.opened() == 0 && started.elapsed() < WAIT_TIMEOUT {
         flows.extend(open(caller, fleet, 3).await);
     }
@@ -75,6 +75,69 @@
     });
 }
 
+/// Guards against refusals of new flows right after a configuration has first named their service, while its
+/// targets are idle. Agents refused the heartbeats that came before, and served only after the next one.
+#[test]
+fn first_route_served() {
+    on_runtime(async {
+        let services = ["labels", "stock", "invoices", "returns"];
+        let all = [&["orders"], services.as_slice()].concat();
+        let all: Vec<(&str, u8)> = all.into_iter().map(|service| (service, 1)).collect();
+        let mut fleet = FlowFleet::start(3, &all).await?;
+        for service in services {
+            let name = format!("{service}-1");
+            fleet.kill(&name)?;
+            fleet.run(&name)?;
+            // The agent knows the configuration before the first heartbeat.
+            let silence = Duration::from_millis(500);
+            fleet.run_silent_target(&name, &format!("{name}/1"), silence).await?;
+        }
+        let refused = change_routes(&fleet, &services).await?;
+        assert_eq!(refused, []);
+        Ok(())
+    });
+}
+
+/// Guards against the same refusals when the new service's target has taken the place of another service's. The
+/// heartbeats of such a target are refused until the configuration names the service.
+#[test]
+fn moved_target_served() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(3, &[("orders", 4)]).await?;
+        let services = ["labels", "stock", "invoices"];
+        for (n, service) in (2..).zip(services) {
+            let name = format!("orders-{n}");
+            fleet.set_service(&name, service)?;
+            fleet.run_target(&name, &format!("{name}/1")).await?;
+        }
+        let refused = change_routes(&fleet, &services).await?;
+        assert_eq!(refused, []);
+        Ok(())
+    });
+}
+
+/// Leads the route to each of `services` in turn, and returns the new flows that failed meanwhile.
+async fn change_routes<'a>(
+    fleet: &FlowFleet,
+    services: &[&'a str],
+) -> Result<Vec<(&'a str, FlowError)>, StandinError> {
+    // Balancers that have just started keep new flows anyway.
+    compio::time::sleep(Duration::from_millis(2500)).await;
+    let caller = fleet.caller(0).await?;
+    let mut refused = Vec::new();
+    for (version, service) in (2..).zip(services) {
+        fleet.set_route(version, service).await?;
+        // Not a multiple of the heartbeat interval, so the changes come at different times within it.
+        let until = Instant::now() + Duration::from_millis(450);
+        while Instant::now() < until {
+            if let Err(e) = caller.open(fleet.route()).await {
+                refused.push((*service, e));
+            }
+        }
+    }
+    Ok(refused)
+}
+
 #[test]
 fn flows_survive_agents() {
     on_runtime(async {
@@ -220,7 +283,7 @@
             let lost = target_name.as_ref().is_ok_and(|id| id == "orders-1");
             assert_eq!(flow.reset_within(Duration::from_secs(2)).await, lost, "{target_name:?}");
         }
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         while fleet.target("orders-1")?.opened() == 0 && started.elapsed() < WAIT_TIMEOUT {
             open(&caller, &fleet, 3).await;
         }
@@ -338,7 +401,7 @@
 /// Waits until all processes that watch the store wait for a change there. Processes register, and watch,
 /// only some time after their start.
 async fn wait_for_watches(fleet: &FlowFleet) -> Result<(), StandinError> {
-    let started = std::time::Instant::now();
+    let started = Instant::now();
     while fleet.open_watches().await? < WATCHERS as u64 {
         assert!(started.elapsed() < WAIT_TIMEOUT, "too few processes watch the store");
         compio::time::sleep(Duration::from_millis(25)).await;
@@ -365,7 +428,7 @@
 
         fleet.proxy().silence_open_connections();
         fleet.set_routes(3, "labels", &["orders"]).await?;
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         loop {
             let mut flows = open(&caller, &fleet, 1).await;
             let answer = flows[0].request().await;
