fix(agent): a claim is repeated while its request has time left

Cause: an authority that did not answer within 2.5 s, or .12 s where the view lacks its record, was given up. The scripts kept no reason; they print it now, and failed scripts keep their logs.

Change: the claim is repeated until three quarters of the request's time have passed.

--- a/crates/dillmill-agent/src/claiming.rs
+++ b/crates/dillmill-agent/src/claiming.rs
@@ -18,6 +18,8 @@
 const ROUND_PAUSE_MIN: Duration = Duration::from_millis(2);
 /// Maximum pause before a claim is repeated.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(50);
+/// Minimum pause before a claim is repeated because the authority does not answer.
+const SILENCE_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of a request that the other agent answers from its own state.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a claim, for which the authority may have to ask other agents twice.
@@ -59,10 +61,14 @@
     view.member(agent.process).is_none_or(|m| m.status == MemberStatus::Down)
 }
 
-/// Claims `key` for this agent, and repeats the claim after each change of the ring until `deadline`.
+/// Claims `key` for this agent. The claim is repeated after each change of the ring until `deadline`.
 ///
-/// Agents that leave together change the ring one after the other, faster than a busy agent can claim.
+/// Agents that leave together change the ring one after the other, faster than a busy agent can claim. An
+/// authority that does not answer may be busy, or the ring soon changes without it, so the claim is repeated
+/// then as well, but only while there is enough time left to run the request.
 pub async fn acquire(cx: &AgentContext, key: ClaimKey, deadline: Timestamp) -> Acquired {
+    let now = cx.node.clock.now();
+    let last_repeat = now + deadline.since(now) * 3 / 4;
     let mut pause = Duration::ZERO;
     while cx.node.clock.now() < deadline {
         compio::time::sleep(pause).await;
@@ -101,6 +107,7 @@
             }
             Some(ClaimAnswer::NotAuthority) => {}
             None if fetch_newer_ring(cx, &ring, authority).await => {}
+            None if cx.node.clock.now() < last_repeat => pause = SILENCE_PAUSE,
             None => return Acquired::Unknown("the authority of its key does not answer"),
         }
     }
--- a/crates/dillmill-standins/src/cluster.rs
+++ b/crates/dillmill-standins/src/cluster.rs
@@ -47,7 +47,8 @@
     control: Option<SocketAddr>,
 }
 
-/// A running cluster. Dropping it ends all of its processes.
+/// A running cluster. Dropping it ends all of its processes. The logs are kept if a panic drops it, as when a
+/// test fails.
 pub struct Cluster {
     dir: TempDir,
     spec: ClusterSpec,
@@ -67,7 +68,7 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        if std::env::var_os(KEEP_LOGS_VARIABLE).is_some() {
+        if std::env::var_os(KEEP_LOGS_VARIABLE).is_some() || std::thread::panicking() {
             self.dir.disable_cleanup(true);
             eprintln!("logs are kept in {}", self.dir.path().display());
         }
--- a/crates/dillmill-standins/src/traffic.rs
+++ b/crates/dillmill-standins/src/traffic.rs
@@ -111,6 +111,10 @@
             return Some(RequestOutcome::Broken);
         }
     };
+    if answer.status != 200 {
+        // Shown for tests that fail, as the output above.
+        eprintln!("call of {} to {name} refused: {answer:?}", call.path);
+    }
     Some(match (answer.status, answer.outcome.as_deref()) {
         (200, _) if answer.field("service") == Some(name) => RequestOutcome::Whole,
         (200, _) => RequestOutcome::WrongService,
