test(standins): the soak checks refused new flows and silent open flows

Cause: a new flow that was refused, and a request on an open flow that got no answer, counted as ended whatever the state of the targets, so the soak held in runs in which 4,900 flows were refused beside idle targets. A failed run that ended with an error kept nothing, and a refused HTTP/3 request did not say under which load.

Errors count as violations; logs and a report are kept for each failed run. Agents log the load behind a refusal, and when they were paused.

--- a/crates/dillmill-agent/src/admission.rs
+++ b/crates/dillmill-agent/src/admission.rs
@@ -9,7 +9,10 @@
 use dillmill_core::placement::{LoadDetail, LoadReport, Place, Policy, Siblings};
 use dillmill_core::retry_budget::RetryBudget;
 use dillmill_core::scheduler::{Offer, Refusal, RequestId, Scheduler, SchedulingRequest};
-use dillmill_core::{MemberStatus, Percent, ServiceName, Slots, TargetPace, Timestamp, warm_up};
+use dillmill_core::{
+    EventKind, MemberStatus, PauseDetector, Percent, ServiceName, Slots, TargetPace, Timestamp,
+    warm_up,
+};
 use dillmill_node::{NodeHandle, View, ViewReceiver, with_random_index};
 use dillmill_wire::Message;
 
@@ -17,6 +20,8 @@
 use crate::metrics::AgentMetrics;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two ticks from which on the process counts as paused in the log.
+const PAUSE_LIMIT: Duration = Duration::from_millis(200);
 const CHANGED_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 const MAX_REPORT_RECIPIENTS: usize = 8;
@@ -169,6 +174,7 @@
     reachable: bool,
     closed: bool,
     last_report: Option<(LoadReport, Timestamp)>,
+    pauses: PauseDetector,
 }
 
 impl AdmissionTask {
@@ -188,6 +194,7 @@
             reachable: false,
             closed: false,
             last_report: None,
+            pauses: PauseDetector::new(PAUSE_LIMIT),
         }
     }
 
@@ -244,11 +251,29 @@
                 self.waiting.insert(ask.id, tx);
             }
             Offer::Refuse(refusal, after) => {
+                self.log_refusal(ask.id, refusal);
                 let _ = tx.send(Admission::Refused(refusal, after));
             }
         }
     }
 
+    /// Logs the load behind a refusal, which tells a busy target from one that stands still.
+    fn log_refusal(&self, id: RequestId, refusal: Refusal) {
+        let load = &self.scheduler;
+        let cause = format!(
+            "{refusal}; {} of {} slots in use, {} queued, service time {} ms",
+            load.in_use(),
+            load.slots(),
+            load.queued(),
+            load.service_time().as_millis()
+        );
+        self.handle.journal.record_debug(
+            EventKind::Request,
+            format!("request {} refused", id.0),
+            cause,
+        );
+    }
+
     fn start(&mut self, started: Vec<RequestId>) {
         for id in started {
             if let Some(tx) = self.waiting.remove(&id) {
@@ -300,10 +325,15 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
+        if self.pauses.was_paused(now) {
+            let cause = format!("no tick for over {} ms", PAUSE_LIMIT.as_millis());
+            self.handle.journal.record(EventKind::Process, "process was paused", cause);
+        }
         self.scheduler.set_slots(self.slots_now(now));
         let started = self.scheduler.start_waiting(now);
         self.start(started);
         for expired in self.scheduler.expire(now) {
+            self.log_refusal(expired.id, expired.refusal);
             if let Some(tx) = self.waiting.remove(&expired.id) {
                 let _ = tx.send(Admission::Refused(expired.refusal, expired.retry_after));
             }
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compio::runtime::JoinHandle;
 use expectations::{Expectations, SharedExpectations};
 use faults::Faults;
 use rand::rngs::StdRng;
@@ -43,11 +44,14 @@
 /// request.
 const FIRST_OVERLOAD_SEED: u64 = 500;
 
+/// File in the folder of the logs that holds the seed, the violations and the actions of a failed run.
+const REPORT_FILE: &str = "report.txt";
+
 /// Runs a soak for `length` with all random choices drawn from `seed`.
 ///
 /// # Errors
 ///
-/// Fails when the fleet can't be started or does not recover.
+/// Fails when the fleet can't be started or the report of a failed run can't be written.
 pub async fn run(seed: u64, length: Duration) -> Result<SoakReport, StandinError> {
     let mut rng = StdRng::seed_from_u64(seed);
     let link = THIN_LINK.parse().ok().filter(|_| seed >= FIRST_THIN_LINK_SEED);
@@ -66,6 +70,8 @@
         report: SoakReport::default(),
         live_runs: names.iter().cloned().collect(),
         last_faults: BTreeMap::new(),
+        last_changes: BTreeMap::new(),
+        last_burst: None,
         routes: vec![(started.checked_sub(PROPAGATION_LIMIT).unwrap_or(started), SERVICES[0])],
         evacuated: None,
     }));
@@ -86,22 +92,38 @@
         overload,
         burst_caller: Rc::new(fleet.caller(CALLERS + 1).await?),
     };
-    while started.elapsed() < length {
-        faults.next(&mut fleet).await?;
-        let pause = faults.rng.random_range(50..700);
-        compio::time::sleep(Duration::from_millis(pause)).await;
-    }
-    for task in tasks {
-        task.await.map_err(|_| StandinError::new("join a caller", "it panicked"))?;
+    let outcome = inject_faults(&mut faults, &mut fleet, tasks, started + length).await;
+    if let Err(e) = outcome {
+        expectations.borrow_mut().log_violation(&e.to_string());
     }
-    faults.check_recovery(&mut fleet).await?;
     let mut report = std::mem::take(&mut expectations.borrow_mut().report);
     if !report.violations.is_empty() {
-        report.logs = Some(fleet.keep_logs());
+        let logs = fleet.keep_logs();
+        std::fs::write(logs.join(REPORT_FILE), format!("seed {seed}\n{report:#?}\n"))
+            .map_err(StandinError::at("write the report"))?;
+        report.logs = Some(logs);
     }
     Ok(report)
 }
 
+/// Injects faults until `until`, waits for the callers, and checks that the fleet has recovered.
+async fn inject_faults(
+    faults: &mut Faults,
+    fleet: &mut FlowFleet,
+    callers: Vec<JoinHandle<()>>,
+    until: Instant,
+) -> Result<(), StandinError> {
+    while Instant::now() < until {
+        faults.next(fleet).await?;
+        let pause = faults.rng.random_range(50..700);
+        compio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    for task in callers {
+        task.await.map_err(|_| StandinError::new("join a caller", "it panicked"))?;
+    }
+    faults.check_recovery(fleet).await
+}
+
 /// Runs a soak for each seed and prints its result.
 ///
 /// # Errors
@@ -150,25 +172,29 @@
     while Instant::now() < until {
         let fresh = rng.random_ratio(1, 3);
         let at = Instant::now();
-        let (mut flow, owner) = if let Some(open) = kept.take().filter(|_| !fresh) {
-            open
-        } else if let Ok(flow) = caller.open(route).await {
-            (flow, (None, at))
-        } else {
-            expectations.borrow_mut().report.ended_unanswered += 1;
-            continue;
+        let open = match kept.take().filter(|_| !fresh) {
+            Some(open) => Ok(open),
+            None => caller.open(route).await.map(|flow| (flow, (None, at))),
         };
-        let (before, opened) = owner;
-        match flow.request().await {
-            Ok(run) => {
+        let (mut flow, (before, opened)) = match open {
+            Ok(open) => open,
+            Err(e) => {
+                expectations.borrow_mut().check_new_flow_end(e, false, at);
+                continue;
+            }
+        };
+        match (flow.request().await, before) {
+            (Ok(run), before) => {
                 expectations.borrow_mut().check_answer(before.as_deref(), &run, opened);
                 kept = Some((flow, (Some(run), opened)));
             }
-            Err(FlowError::Reset) => match before {
-                Some(run) => expectations.borrow_mut().check_reset_allowed(&run),
-                None => expectations.borrow_mut().report.ended_unanswered += 1,
-            },
-            Err(FlowError::Silent) => expectations.borrow_mut().report.ended_unanswered += 1,
+            (Err(FlowError::Reset), Some(run)) => {
+                expectations.borrow_mut().check_reset_allowed(&run);
+            }
+            (Err(FlowError::Silent), Some(run)) => {
+                expectations.borrow_mut().check_silence_allowed(&run, at);
+            }
+            (Err(e), None) => expectations.borrow_mut().check_new_flow_end(e, true, opened),
         }
         compio::time::sleep(Duration::from_millis(rng.random_range(10..120))).await;
     }
--- a/crates/dillmill-standins/src/flow_soak/burst.rs
+++ b/crates/dillmill-standins/src/flow_soak/burst.rs
@@ -32,6 +32,7 @@
         let length = Duration::from_millis(self.rng.random_range(1000..2000));
         self.expectations.borrow_mut().log_action(&format!("burst of {} ms", length.as_millis()));
         let until = Instant::now() + length;
+        self.expectations.borrow_mut().last_burst = Some(until);
         let routes = [fleet.route(), fleet.urgent_route()];
         let spawn = |route| {
             let load =
@@ -107,13 +108,13 @@
     while Instant::now() < until {
         let opened = Instant::now();
         let answer = match caller.open(route).await {
-            Ok(mut flow) => flow.request().await,
-            Err(e) => Err(e),
+            Ok(mut flow) => flow.request().await.map_err(|e| (e, true)),
+            Err(e) => Err((e, false)),
         };
         let mut expectations = expectations.borrow_mut();
         match answer {
             Ok(run) => expectations.check_answer(None, &run, opened),
-            Err(_) => expectations.report.ended_unanswered += 1,
+            Err((e, accepted)) => expectations.check_new_flow_end(e, accepted, opened),
         }
     }
 }
--- a/crates/dillmill-standins/src/flow_soak/faults.rs
+++ b/crates/dillmill-standins/src/flow_soak/faults.rs
@@ -46,6 +46,12 @@
         expectations.last_faults.insert(vm.to_owned(), Instant::now());
     }
 
+    fn record_change(&self, vm: &str, what: &str) {
+        let mut expectations = self.expectations.borrow_mut();
+        expectations.log_action(&format!("{what} {vm}"));
+        expectations.last_changes.insert(vm.to_owned(), Instant::now());
+    }
+
     pub(super) fn random_delay(&mut self, most_ms: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(20..most_ms))
     }
@@ -95,11 +101,13 @@
 
     async fn stop(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
         let vm = self.random_vm();
-        self.expectations.borrow_mut().log_action(&format!("stop {vm}"));
+        self.record_change(&vm, "stop");
         if !fleet.stop(&vm).await? {
             self.expectations.borrow_mut().log_violation(&format!("{vm} did not stop as planned"));
         }
-        fleet.run(&vm)
+        fleet.run(&vm)?;
+        self.record_change(&vm, "start");
+        Ok(())
     }
 
     async fn pause(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
@@ -116,11 +124,8 @@
         let vm = self.names[self.rng.random_range(0..self.names.len())].clone();
         self.runs += 1;
         let run = format!("{vm}/{}", self.runs);
-        {
-            let mut expectations = self.expectations.borrow_mut();
-            expectations.log_action(&format!("replace target by {run}"));
-            expectations.live_runs.retain(|live_runs| vm_of(live_runs) != vm);
-        }
+        self.record_change(&vm, &format!("replace target by {run} at"));
+        self.expectations.borrow_mut().live_runs.retain(|live_runs| vm_of(live_runs) != vm);
         // Callers open flows at the new run before its first heartbeat.
         let silence = self.random_delay(500);
         fleet.run_silent_target(&vm, &run, silence).await?;
@@ -132,7 +137,7 @@
     /// replaces it by a new run.
     async fn drain_target(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
         let vm = self.names[self.rng.random_range(0..self.names.len())].clone();
-        self.expectations.borrow_mut().log_action(&format!("drain target of {vm}"));
+        self.record_change(&vm, "drain target of");
         fleet.target(&vm)?.drain();
         compio::time::sleep(PROPAGATION_LIMIT).await;
         if fleet.target(&vm)?.drain_acknowledged() {
@@ -148,6 +153,7 @@
         let run = format!("{vm}/{}", self.runs);
         self.expectations.borrow_mut().live_runs.retain(|live_runs| vm_of(live_runs) != vm);
         fleet.run_target(&vm, &run).await?;
+        self.record_change(&vm, &format!("drained, replace target by {run} at"));
         self.expectations.borrow_mut().live_runs.insert(run);
         Ok(())
     }
