--- a/crates/dillmill-flow/src/agent_task/heartbeats.rs
+++ b/crates/dillmill-flow/src/agent_task/heartbeats.rs
@@ -14,7 +14,7 @@
 
 use super::{AgentTask, TargetHealth};
 
-/// A heartbeat that was refused because the configuration did not name its service yet.
+/// A refused heartbeat, kept in case the configuration names its service soon.
 #[derive(Debug)]
 pub(super) struct EarlyHeartbeat {
     run: TargetRun,
--- a/crates/dillmill-standins/src/flow_soak/expectations.rs
+++ b/crates/dillmill-standins/src/flow_soak/expectations.rs
@@ -100,9 +100,7 @@
         }
         self.report.ended_unanswered += 1;
     }
-}
 
-impl Expectations {
     /// Checks the end of a new flow, opened at `opened`, that got no answer; `accepted` tells whether a target
     /// had accepted it.
     pub(super) fn check_new_flow_end(&mut self, end: FlowError, accepted: bool, opened: Instant) {
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -116,6 +116,23 @@
     });
 }
 
+/// Guards against new flows that wait for a service without any target until their callers give up: they may
+/// wait for a moment after the configuration has first named the service, and are refused then.
+#[test]
+fn service_without_targets_refused() {
+    on_runtime(async {
+        let fleet = FlowFleet::start(2, &[("orders", 1)]).await?;
+        // Balancers that have just started keep new flows anyway.
+        compio::time::sleep(Duration::from_millis(2500)).await;
+        let caller = fleet.caller(0).await?;
+        fleet.set_route(2, "labels").await?;
+        compio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(caller.open(fleet.route()).await.err(), Some(FlowError::Reset), "at first");
+        assert_eq!(caller.open(fleet.route()).await.err(), Some(FlowError::Reset), "then");
+        Ok(())
+    });
+}
+
 /// Leads the route to each of `services` in turn, and returns the new flows that failed meanwhile.
 async fn change_routes<'a>(
     fleet: &FlowFleet,
