--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -11,6 +11,8 @@
 //!   again. Which one is not known, nor whether the ports were the cause.
 //! - 9146, 9158: new flows were refused after the configuration first named their service, see
 //!   `first_route_served`.
+//! - 9229: an agent whose target leaves 0.06 s after the start of the fleet refuses new flows, as it has not
+//!   heard yet that its siblings serve; see docs/QUESTIONS.md.
 //!
 //! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
 //! with routes of two priorities to targets of few slots. With seed 504 many flows are opened at the same
@@ -22,7 +24,7 @@
 use rstest::rstest;
 
 #[rstest]
-fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504, 9146, 9158)] seed: u64) {
+fn promises_hold(#[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504, 9146, 9158, 9229)] seed: u64) {
     let runtime = compio::runtime::Runtime::new().unwrap();
     let length = Duration::from_secs(8);
     let report = runtime.block_on(flow_soak::run(seed, length)).unwrap();
