test(standins): the soak runs planned operations in series that overlap

Until now a fault began only once the one before had ended, and restarts, signals and drains came one at a time. Seeds from 20000 on run planned operations only (restarts, series of SIGHUP, drained and replaced targets, changes of the route, evacuations), begun every 20 to 300 ms whatever is under way; callers go on using their flows all the time. Two targets of each service and two balancers are never touched, so a reset of a flow whose target is live, a refused new flow and, in these runs, a new flow without an answer are violations. What a soak runs with is in soak_plan.rs; earlier seeds keep their meaning.

--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -104,6 +104,26 @@
         Ok(process.wait(PROCESS_TIMEOUT).await == Some(true))
     }
 
+    /// Requests the planned stop of the process of a VM and does not wait for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM has no running process.
+    pub fn terminate(&mut self, name: &str) -> Result<(), StandinError> {
+        let process = self.vm(name)?.process.as_ref();
+        process.ok_or_else(|| StandinError::new("stop", name))?.terminate()
+    }
+
+    /// Returns whether the process of a VM has ended with success, or `None` if it is still running.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM has had no process.
+    pub fn ended(&mut self, name: &str) -> Result<Option<bool>, StandinError> {
+        let process = self.vm(name)?.process.as_mut();
+        Ok(process.ok_or_else(|| StandinError::new("look for the end", name))?.ended())
+    }
+
     /// Sends SIGHUP to the process of a VM, on which it reads its settings file again.
     ///
     /// # Errors
@@ -114,6 +134,16 @@
         process.ok_or_else(|| StandinError::new("signal", name))?.hang_up()
     }
 
+    /// Returns whether the process of a VM has begun to catch SIGHUP, which would end it before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM has no running process.
+    pub fn catches_hang_up(&mut self, name: &str) -> Result<bool, StandinError> {
+        let process = self.vm(name)?.process.as_ref();
+        Ok(process.ok_or_else(|| StandinError::new("read signals", name))?.catches_hang_up())
+    }
+
     /// Suspends the process of a VM.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -6,10 +6,12 @@
 mod burst;
 mod expectations;
 mod faults;
+mod planned;
+mod soak_plan;
 mod soak_report;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -19,30 +21,16 @@
 use faults::Faults;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use soak_plan::SoakPlan;
 pub use soak_report::SoakReport;
 
 use crate::flow_caller::FlowError;
-use crate::flow_fleet::FleetLayout;
 use crate::{FlowCaller, FlowFleet, StandinError};
 
 /// Time after a change of the route or an evacuation order during which new flows may still follow the old
 /// state.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
-const CALLERS: u8 = 6;
 const SERVICES: [&str; 2] = ["orders", "labels"];
-const TARGETS: u8 = 3;
-const BALANCERS: u8 = 3;
-/// Seeds from this one on run with thin links at the balancers, so that packets wait there. Lower seeds
-/// run without, as they did when they failed.
-const FIRST_THIN_LINK_SEED: u64 = 300;
-/// About 100 kB/s, which the callers' packets and the messages between processes fill from time to time.
-const THIN_LINK: &str = "0.8 Mbit/s";
-/// Seeds from this one on run in two data centres, one of which is evacuated from time to time.
-const FIRST_ZONES_SEED: u64 = 400;
-const ZONES: u8 = 2;
-/// Seeds from this one on run with routes of two priorities, to targets of few slots that take time for a
-/// request.
-const FIRST_OVERLOAD_SEED: u64 = 500;
 
 /// File in the folder of the logs that holds the seed, the violations and the actions of a failed run.
 const REPORT_FILE: &str = "report.txt";
@@ -54,16 +42,13 @@
 /// Fails when the fleet can't be started or the report of a failed run can't be written.
 pub async fn run(seed: u64, length: Duration) -> Result<SoakReport, StandinError> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let link = THIN_LINK.parse().ok().filter(|_| seed >= FIRST_THIN_LINK_SEED);
-    let services = SERVICES.map(|s| (s, TARGETS));
-    let zones = if seed >= FIRST_ZONES_SEED { ZONES } else { 1 };
-    let overload = seed >= FIRST_OVERLOAD_SEED;
-    let layout = FleetLayout { link, zones, overload };
-    let mut fleet = FlowFleet::start_with_layout(layout, BALANCERS, &services).await?;
+    let plan = SoakPlan::of(seed);
+    let services = SERVICES.map(|s| (s, plan.targets));
+    let mut fleet = FlowFleet::start_with_layout(plan.layout, plan.balancers, &services).await?;
     let started = Instant::now();
     let names: Vec<String> = SERVICES
         .iter()
-        .flat_map(|service| (1..=TARGETS).map(move |n| format!("{service}-{n}")))
+        .flat_map(|service| (1..=plan.targets).map(move |n| format!("{service}-{n}")))
         .collect();
     let expectations = Rc::new(RefCell::new(Expectations {
         started,
@@ -74,11 +59,13 @@
         last_burst: None,
         routes: vec![(started.checked_sub(PROPAGATION_LIMIT).unwrap_or(started), SERVICES[0])],
         evacuated: None,
+        planned: plan.planned,
     }));
     let mut tasks = Vec::new();
-    for n in 0..CALLERS {
+    for n in 0..plan.callers {
         let caller = fleet.caller(n).await?;
-        let route = if overload && n % 2 == 0 { fleet.urgent_route() } else { fleet.route() };
+        let route =
+            if plan.layout.overload && n % 2 == 0 { fleet.urgent_route() } else { fleet.route() };
         let load = run_caller(caller, route, expectations.clone(), rng.random(), started + length);
         tasks.push(compio::runtime::spawn(load));
     }
@@ -88,9 +75,9 @@
         expectations: expectations.clone(),
         runs: 0,
         version: 1,
-        zones,
-        overload,
-        burst_caller: Rc::new(fleet.caller(CALLERS + 1).await?),
+        plan,
+        stopping: BTreeSet::new(),
+        burst_caller: Rc::new(fleet.caller(plan.callers + 1).await?),
     };
     let outcome = inject_faults(&mut faults, &mut fleet, tasks, started + length).await;
     if let Err(e) = outcome {
@@ -113,6 +100,9 @@
     callers: Vec<JoinHandle<()>>,
     until: Instant,
 ) -> Result<(), StandinError> {
+    if faults.plan.planned {
+        faults.run_planned(fleet, until).await?;
+    }
     while Instant::now() < until {
         faults.next(fleet).await?;
         let pause = faults.rng.random_range(50..700);
--- a/crates/dillmill-standins/src/flow_soak/expectations.rs
+++ b/crates/dillmill-standins/src/flow_soak/expectations.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{PROPAGATION_LIMIT, SoakReport, ZONES};
+use super::soak_plan::ZONES;
+use super::{PROPAGATION_LIMIT, SoakReport};
 use crate::flow_caller::FlowError;
 
 /// Time after an unplanned fault of its VM, or of any balancer, during which a flow may be reset.
@@ -26,6 +27,8 @@
     pub(super) routes: Vec<(Instant, &'static str)>,
     /// Number of the evacuated data centre, and the time of the order.
     pub(super) evacuated: Option<(u8, Instant)>,
+    /// Only planned operations take place, so that a new flow must always be answered.
+    pub(super) planned: bool,
 }
 
 pub(super) type SharedExpectations = Rc<RefCell<Expectations>>;
@@ -105,31 +108,36 @@
     /// had accepted it.
     pub(super) fn check_new_flow_end(&mut self, end: FlowError, accepted: bool, opened: Instant) {
         match (end, accepted) {
-            (FlowError::Reset, false) => self.check_refusal_allowed(opened),
+            (FlowError::Reset, false) => self.check_end_allowed(end, opened),
             (FlowError::Reset, true) => self.check_first_reset_allowed(opened),
+            (FlowError::Silent, false) if self.planned => self.check_end_allowed(end, opened),
             (FlowError::Silent, _) => self.report.ended_unanswered += 1,
         }
     }
 
-    /// Checks the reset of a new flow opened at `opened`: it is a violation if each service that may answer it
+    /// Checks the `end` of a new flow opened at `opened`: it is a violation if each service that may answer it
     /// has a target that nothing has disturbed lately. Overloaded targets may refuse.
-    fn check_refusal_allowed(&mut self, opened: Instant) {
+    fn check_end_allowed(&mut self, end: FlowError, opened: Instant) {
         self.report.ended_unanswered += 1;
         let overloaded = self.last_burst.is_some_and(|at| at + PROPAGATION_LIMIT > opened);
         let services = self.services(opened);
         if !overloaded && services.iter().all(|service| self.has_calm_target(service, opened)) {
-            self.log_violation(&format!("new flow refused, targets of {services:?} are live"));
+            let what = match end {
+                FlowError::Reset => "refused",
+                FlowError::Silent => "not answered",
+            };
+            self.log_violation(&format!("new flow {what}, targets of {services:?} are live"));
         }
     }
 
     /// Checks the reset of a flow, opened at `opened`, whose first request got no answer. In addition to
-    /// [`check_refusal_allowed`](Self::check_refusal_allowed), the target that accepted it may have ended since.
+    /// [`check_end_allowed`](Self::check_end_allowed), the target that accepted it may have ended since.
     fn check_first_reset_allowed(&mut self, opened: Instant) {
         let events = self.last_faults.iter().chain(&self.last_changes);
         if events.into_iter().any(|(_, at)| *at >= opened) {
             self.report.ended_unanswered += 1;
         } else {
-            self.check_refusal_allowed(opened);
+            self.check_end_allowed(FlowError::Reset, opened);
         }
     }
 
--- a/crates/dillmill-standins/src/flow_soak/faults.rs
+++ b/crates/dillmill-standins/src/flow_soak/faults.rs
@@ -8,7 +8,8 @@
 use rand::rngs::StdRng;
 
 use super::expectations::{SharedExpectations, vm_of};
-use super::{BALANCERS, CALLERS, PROPAGATION_LIMIT, SERVICES};
+use super::soak_plan::SoakPlan;
+use super::{PROPAGATION_LIMIT, SERVICES};
 use crate::flow_fleet::wait;
 use crate::flow_proxy::ProxyMode;
 use crate::platform::PlatformFaults;
@@ -23,8 +24,9 @@
     pub(super) expectations: SharedExpectations,
     pub(super) runs: u32,
     pub(super) version: u64,
-    pub(super) zones: u8,
-    pub(super) overload: bool,
+    pub(super) plan: SoakPlan,
+    /// VMs whose processes have been told to stop by a planned operation and have not ended yet.
+    pub(super) stopping: BTreeSet<String>,
     /// Host of the callers of all bursts. A new host for each burst would use the ports of earlier flows
     /// again, which targets hold until the idle timeout.
     pub(super) burst_caller: Rc<FlowCaller>,
@@ -32,7 +34,7 @@
 
 impl Faults {
     fn random_vm(&mut self) -> String {
-        let balancers = usize::from(BALANCERS);
+        let balancers = usize::from(self.plan.balancers);
         let n = self.rng.random_range(0..self.names.len() + balancers);
         match self.names.get(n) {
             Some(name) => name.clone(),
@@ -46,7 +48,7 @@
         expectations.last_faults.insert(vm.to_owned(), Instant::now());
     }
 
-    fn record_change(&self, vm: &str, what: &str) {
+    pub(super) fn record_change(&self, vm: &str, what: &str) {
         let mut expectations = self.expectations.borrow_mut();
         expectations.log_action(&format!("{what} {vm}"));
         expectations.last_changes.insert(vm.to_owned(), Instant::now());
@@ -58,7 +60,7 @@
 
     /// Injects one random fault.
     pub(super) async fn next(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
-        let kinds = match (self.zones, self.overload) {
+        let kinds = match (self.plan.layout.zones, self.plan.layout.overload) {
             (_, true) => 19,
             (1, false) => 12,
             (_, false) => 15,
@@ -149,16 +151,25 @@
                     .log_violation(&format!("leaving target of {vm} got a new flow"));
             }
         }
+        self.replace_drained(&vm, fleet).await
+    }
+
+    /// Replaces a target that has been drained by a new run.
+    pub(super) async fn replace_drained(
+        &mut self,
+        vm: &str,
+        fleet: &mut FlowFleet,
+    ) -> Result<(), StandinError> {
         self.runs += 1;
         let run = format!("{vm}/{}", self.runs);
         self.expectations.borrow_mut().live_runs.retain(|live_runs| vm_of(live_runs) != vm);
-        fleet.run_target(&vm, &run).await?;
-        self.record_change(&vm, &format!("drained, replace target by {run} at"));
+        fleet.run_target(vm, &run).await?;
+        self.record_change(vm, &format!("drained, replace target by {run} at"));
         self.expectations.borrow_mut().live_runs.insert(run);
         Ok(())
     }
 
-    async fn change_route(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
+    pub(super) async fn change_route(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
         let service = SERVICES[self.rng.random_range(0..SERVICES.len())];
         let changes = self.rng.random_range(1..=4);
         // Processes may apply the change before the store's response arrives here; the time limit starts
@@ -176,9 +187,10 @@
     }
 
     /// Orders the evacuation of one data centre, or withdraws the order in force.
-    async fn evacuate(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
+    pub(super) async fn evacuate(&mut self, fleet: &FlowFleet) -> Result<(), StandinError> {
         let before = self.expectations.borrow_mut().evacuated.take();
-        let zone = before.map_or_else(|| self.rng.random_range(1..=self.zones), |(zone, _)| zone);
+        let zone = before
+            .map_or_else(|| self.rng.random_range(1..=self.plan.layout.zones), |(zone, _)| zone);
         let ordered = before.is_none();
         fleet.evacuate(&format!("zone-{zone}"), ordered).await?;
         let mut expectations = self.expectations.borrow_mut();
@@ -239,9 +251,9 @@
             self.evacuate(fleet).await?;
         }
         let router = fleet.router();
-        let all = usize::from(BALANCERS);
+        let all = usize::from(self.plan.balancers);
         wait(RECOVERY_TIMEOUT, "readiness after the faults", || router.ready() == all).await?;
-        let caller = fleet.caller(CALLERS).await?;
+        let caller = fleet.caller(self.plan.callers).await?;
         let mut ends = Vec::new();
         for n in 0..20 {
             match caller.open(fleet.route()).await {
--- a/crates/dillmill-standins/src/process.rs
+++ b/crates/dillmill-standins/src/process.rs
@@ -131,6 +131,17 @@
         self.signal("HUP")
     }
 
+    /// Returns whether the process has begun to catch SIGHUP.
+    #[must_use]
+    pub fn catches_hang_up(&self) -> bool {
+        const SIGHUP_MASK: u64 = 1;
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & SIGHUP_MASK != 0)
+    }
+
     /// Asks the process to stop gracefully, with SIGTERM.
     ///
     /// # Errors
@@ -146,13 +157,18 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process has ended successfully, or `None` if it is still running.
+    pub fn ended(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
     /// Waits up to `limit` for the process to end. Returns whether it ended successfully, or `None` if it is
     /// still running.
     pub async fn wait(&mut self, limit: Duration) -> Option<bool> {
         let started = Instant::now();
         while started.elapsed() < limit {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status.success());
+            if let Some(success) = self.ended() {
+                return Some(success);
             }
             compio::time::sleep(POLL_INTERVAL).await;
         }
