test(standins): the soak signals a process only once its program catches signals

The soak waits until the process catches SIGHUP, which the program does first of all; what it checks then is unchanged.

--- a/crates/dillmill-standins/src/flow_soak/planned.rs
+++ b/crates/dillmill-standins/src/flow_soak/planned.rs
@@ -124,6 +124,10 @@
         fleet: &mut FlowFleet,
     ) -> Result<(), StandinError> {
         match step {
+            // No program can obey a signal that arrives before it runs.
+            Step::HangUp(ref vm) | Step::Terminate(ref vm) if !fleet.catches_hang_up(vm)? => {
+                schedule.add(Instant::now() + POLL_INTERVAL / 4, step);
+            }
             Step::HangUp(vm) => {
                 self.expectations.borrow_mut().log_action(&format!("hang up {vm}"));
                 fleet.hang_up(&vm)?;
