fix(core): packets of a flow on a port used again go to its own target

What callers saw: a new flow from a port that had carried another flow shortly before was answered by the earlier flow's target, also by one of another service after a change of the route, or in an evacuated data centre.

Cause, by logs of a trial (short bursts on the same ports, changes of the route, balancers killed): a directory preferred records marked open, whatever the caller had acknowledged, and such a record removed the others; agents register flows so whenever directories change. And an agent gave its target any packet of a tuple that it had once held.

Change: a directory names the target whose first number lies closest before the acknowledged byte, and keeps eight records of a tuple; an agent takes packets that acknowledge a byte near the last one of its target, and searches for the owner of others.

later_flow_of_a_port_found (4 cases) and packet_of_later_flow_searched (2 cases) failed before.

--- a/crates/dillmill-core/src/flow/flow_directory.rs
+++ b/crates/dillmill-core/src/flow/flow_directory.rs
@@ -14,9 +14,13 @@
 /// Maximum number of flows in one generation. 7.7 million flows with two directories each, over
 /// 5,600 agents, are 2,750 per agent.
 const CAPACITY: usize = 50_000;
-/// Maximum number of records of one flow. A caller sends its opening packet three times, and as
-/// many targets may answer; one more record names the agent to which the packet was passed.
-const MAX_CLAIMS: usize = 4;
+/// Maximum number of records of one flow tuple. A caller sends its opening packet three times, and as
+/// many targets may answer; one more record names the agent to which the packet was passed. The
+/// others may be of earlier flows of a caller that uses its ports again.
+const MAX_CLAIMS: usize = 8;
+/// Maximum distance of a caller's acknowledgement from the initial sequence number of the target that
+/// owns the flow.
+const ACK_WINDOW: u32 = 1 << 24;
 
 /// States that a target has answered the opening packet of a flow, or that the packet was passed to
 /// the target's agent.
@@ -26,7 +30,8 @@
     pub flow: FlowTuple,
     /// Initial sequence number of the target, if its answer to the opening packet was seen.
     pub target_seq: Option<u32>,
-    /// The caller has acknowledged this target, so no other can own the flow.
+    /// The caller has acknowledged this target, so no other can own the flow unless the caller has used
+    /// the port again.
     pub open: bool,
     /// Agent of the target.
     pub owner: ProcessId,
@@ -49,11 +54,10 @@
 impl FlowDirectory {
     /// Adds a record.
     pub fn register(&mut self, record: FlowRecord, now: Timestamp) {
-        let mut claims = match self.records.remove(&record.flow) {
-            Some(claims) if !record.open => claims,
-            Some(_) | None => Vec::with_capacity(1),
-        };
-        claims.retain(|other| other.data != record.data);
+        let mut claims = self.records.remove(&record.flow).unwrap_or_else(|| Vec::with_capacity(1));
+        // An open flow is no longer where its opening packet was passed.
+        let keeps = |other: &FlowRecord| !record.open || other.target_seq.is_some();
+        claims.retain(|other| other.data != record.data && keeps(other));
         claims.insert(0, record);
         if claims.len() > MAX_CLAIMS {
             // The least certain record is removed first: one of where the packet was passed, then
@@ -71,8 +75,14 @@
     /// Returns the most likely owner of a flow whose caller expects byte `ack` of the target next.
     pub fn owner(&mut self, flow: &FlowTuple, ack: u32, now: Timestamp) -> Option<FlowRecord> {
         let claims = self.records.get_mut(flow, now)?;
-        let distance = |r: &&FlowRecord| r.target_seq.map_or(u32::MAX, |seq| ack.wrapping_sub(seq));
-        claims.iter().min_by_key(|r| (!r.open, distance(r))).copied()
+        let distance = |r: &FlowRecord| r.target_seq.map_or(u32::MAX, |seq| ack.wrapping_sub(seq));
+        // An earlier flow of the same tuple may still be on record as open, at another target.
+        let rank = |r: &&FlowRecord| {
+            let distance = distance(r);
+            let near = distance <= ACK_WINDOW;
+            (!near, !near && !r.open, distance)
+        };
+        claims.iter().min_by_key(rank).copied()
     }
 
     /// Returns the number of flows on record.
--- a/crates/dillmill-core/src/target/flow_match.rs
+++ b/crates/dillmill-core/src/target/flow_match.rs
@@ -8,7 +8,8 @@
         /// The packet begins a request that is not the first of its flow.
         further: bool,
     },
-    /// The caller has acknowledged another target.
+    /// The caller has acknowledged another target, or the packet is of a later flow of the same addresses and
+    /// ports.
     Other,
     /// The flow is unknown.
     Unknown,
--- a/crates/dillmill-core/src/target/target_flows.rs
+++ b/crates/dillmill-core/src/target/target_flows.rs
@@ -94,7 +94,10 @@
     #[must_use]
     pub fn begins_further(&self, seg: &Segment) -> bool {
         let begins = |flow: &TrackedFlow| {
-            flow.stage == Stage::Open && flow.had_request && flow.request.is_none()
+            flow.stage == Stage::Open
+                && flow.had_request
+                && flow.request.is_none()
+                && flow.matches(seg)
         };
         seg.len > 0 && self.flows.peek(&seg.flow).is_some_and(begins)
     }
@@ -118,6 +121,8 @@
                 return FlowMatch::Other;
             }
             flow.stage = Stage::Open;
+        } else if !flow.matches(seg) {
+            return FlowMatch::Other;
         }
         flow.caller_expects = seg.ack;
         if seg.len > 0 {
@@ -202,6 +207,7 @@
             self.flows.insert(seg.flow, TrackedFlow::seen_at_target(seg, now), now);
             return TargetPacketEffect { new: true, ..TargetPacketEffect::default() };
         };
+        flow.note_sent(seg);
         let stray_reset = seg.kind == SegmentKind::Reset && flow.stage == Stage::Opening;
         if seg.kind == SegmentKind::Reset && flow.stage == Stage::Open && flow.request.is_some() {
             self.outcomes.request_reset(now);
--- a/crates/dillmill-core/src/target/tracked_flow.rs
+++ b/crates/dillmill-core/src/target/tracked_flow.rs
@@ -12,6 +12,9 @@
 /// between data centres.
 const FIRST_REQUEST_WINDOW: Duration = Duration::from_millis(30);
 
+/// Maximum distance of a caller's acknowledgement from the last byte that the target has sent.
+const ACK_WINDOW: u32 = 1 << 20;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
     /// The opening packet was delivered to the target.
@@ -26,6 +29,8 @@
 pub(super) struct TrackedFlow {
     pub(super) stage: Stage,
     pub(super) target_seq: Option<u32>,
+    /// Number after the last byte that the target has sent, if a packet of it was seen.
+    pub(super) target_sent: Option<u32>,
     pub(super) taken_at: Timestamp,
     /// Number of the byte that the caller expects next.
     pub(super) caller_expects: u32,
@@ -48,6 +53,7 @@
         Self {
             stage: Stage::Opening,
             target_seq: None,
+            target_sent: None,
             taken_at: now,
             caller_expects: 0,
             request: None,
@@ -64,12 +70,30 @@
         Self {
             stage: if accept { Stage::Opening } else { Stage::Open },
             target_seq: accept.then_some(seg.seq),
+            target_sent: Some(seg.seq.wrapping_add(u32::from(seg.len))),
             caller_expects: seg.seq,
             had_request: true,
             ..Self::opening(now)
         }
     }
 
+    /// Returns whether a caller's packet belongs to this flow. A later flow of the same addresses and ports
+    /// acknowledges other sequence numbers. A caller's reset need not acknowledge anything.
+    pub(super) fn matches(&self, seg: &Segment) -> bool {
+        let near = |sent: u32| {
+            let ahead = seg.ack.wrapping_sub(sent);
+            ahead.min(ahead.wrapping_neg()) <= ACK_WINDOW
+        };
+        seg.kind == SegmentKind::Reset || self.target_sent.is_none_or(near)
+    }
+
+    /// Records a packet of the target.
+    pub(super) fn note_sent(&mut self, seg: &Segment) {
+        if seg.kind != SegmentKind::Reset {
+            self.target_sent = Some(seg.seq.wrapping_add(u32::from(seg.len)));
+        }
+    }
+
     /// Returns whether the flow counts as a request: one is unanswered, or the first is about to
     /// arrive.
     pub(super) fn has_request(&self, now: Timestamp) -> bool {
--- a/crates/dillmill-core/tests/flow_directories.rs
+++ b/crates/dillmill-core/tests/flow_directories.rs
@@ -57,6 +57,20 @@
     assert_eq!(owner(records, acknowledged), expected);
 }
 
+/// Guards against packets that are sent to the target of an earlier flow, after its caller has used the port
+/// again. Agents whose directories change register the earlier flow once more, as open.
+#[rstest]
+#[case::registered_before(&[record(1, Some(seq(1)), true), accepted(2)])]
+#[case::registered_again(&[accepted(2), record(1, Some(seq(1)), true)])]
+#[case::without_number(&[accepted(2), record(1, None, true)])]
+#[case::many_earlier(
+    &[accepted(1), accepted(3), accepted(2), record(4, Some(seq(4)), true), record(5, Some(seq(5)), true),
+      record(1, Some(seq(1)), true), record(6, Some(seq(6)), true)]
+)]
+fn later_flow_of_a_port_found(#[case] records: &[FlowRecord]) {
+    assert_eq!(owner(records, 2), Some(ProcessId(2)));
+}
+
 #[test]
 fn last_forwarding_record_used() {
     assert_eq!(owner(&[forwarded(4), forwarded(5)], 1), Some(ProcessId(5)));
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -142,6 +142,33 @@
     assert_eq!(verdict, Verdict::Deliver { mark: 0, tell: Some(control(9)) });
 }
 
+/// Guards against packets of a new flow that are given to the target of an earlier flow, whose port the caller
+/// has used again.
+#[rstest]
+#[case::open(SegmentKind::Data)]
+#[case::closed(SegmentKind::Finish)]
+fn packet_of_later_flow_searched(#[case] last: SegmentKind) {
+    let (agents, routes) = (three_agents(), routes(1, "orders"));
+    let context = GateContext {
+        agents: &agents,
+        routes: &routes,
+        settled: true,
+        told: true,
+        siblings: &SiblingLoads::new(),
+    };
+    let mut gate = gate();
+    open_flow(&mut gate, 1, context);
+    let own = segment(1, last);
+    let deliver = envelope(PacketPurpose::Deliver);
+    let held = Verdict::Deliver { mark: 0, tell: None };
+    assert_eq!(arrived(&mut gate, &own, &deliver, context), held);
+    let later = Segment { ack: TARGET_SEQ.wrapping_add(3_000_000_000), ..request(1) };
+    let verdict = arrived(&mut gate, &later, &deliver, context);
+    assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Search, .. }), "{verdict:?}");
+    // Late packets of the earlier flow still go to its target.
+    assert_eq!(arrived(&mut gate, &own, &deliver, context), held);
+}
+
 #[rstest]
 #[case::leaving(TargetStanding::Leaving)]
 #[case::gone(TargetStanding::Gone)]
