test(standins): the soak uses ports again in short bursts

Seeds from 10000 on run bursts of 200 to 600 ms on the ports of earlier ones; in between routes change, and balancers are killed or paused, so that packets of a flow go through several of them. Callers begin each flow with a random sequence number, as real ones do, so that a late answer of an earlier flow can't be taken for one of the new flow.

--- a/crates/dillmill-standins/src/flow_caller.rs
+++ b/crates/dillmill-standins/src/flow_caller.rs
@@ -11,6 +11,7 @@
 use compio::runtime::JoinHandle;
 use dillmill_core::{FlowTuple, Segment, SegmentKind};
 use dillmill_platform::packet::{self, HEADER_LEN, Sender};
+use rand::Rng;
 
 use crate::StandinError;
 use crate::flow_router::FlowRouter;
@@ -64,6 +65,11 @@
         Ok(Self { ip, socket, router, inboxes, next_port, _task: task })
     }
 
+    /// Uses the ports of earlier flows again from now on.
+    pub fn restart_ports(&self) {
+        self.next_port.set(FIRST_PORT);
+    }
+
     /// Opens a flow to `route`.
     ///
     /// # Errors
@@ -75,18 +81,23 @@
         let flow = FlowTuple::new(SocketAddrV4::new(self.ip, port), route);
         let (tx, rx) = flume::unbounded();
         self.inboxes.borrow_mut().insert(flow, tx);
+        let initial_seq: u32 = rand::rng().random();
         for (copies, wait) in (0..).zip(OPEN_TIMEOUTS) {
             let kind = SegmentKind::Open { copies };
-            self.send(&Segment { flow, kind, seq: 1, ack: copies, ..data_segment(flow) }, b"")
-                .await;
+            self.send(
+                &Segment { flow, kind, seq: initial_seq, ack: copies, ..data_segment(flow) },
+                b"",
+            )
+            .await;
             let Ok(Ok((seg, _))) = compio::time::timeout(wait, rx.recv_async()).await else {
                 continue;
             };
             if seg.kind == SegmentKind::Reset {
                 return Err(FlowError::Reset);
             }
-            let open = OpenFlow { caller: self, flow, rx, seq: 2, ack: seg.seq.wrapping_add(1) };
-            self.send(&Segment { seq: 2, ack: open.ack, ..data_segment(flow) }, b"").await;
+            let (seq, ack) = (initial_seq.wrapping_add(1), seg.seq.wrapping_add(1));
+            let open = OpenFlow { caller: self, flow, rx, seq, ack };
+            self.send(&Segment { seq, ack, ..data_segment(flow) }, b"").await;
             return Ok(open);
         }
         Err(FlowError::Silent)
--- a/crates/dillmill-standins/src/flow_soak/burst.rs
+++ b/crates/dillmill-standins/src/flow_soak/burst.rs
@@ -29,7 +29,11 @@
         fleet: &mut FlowFleet,
         kill_agent: bool,
     ) -> Result<(), StandinError> {
-        let length = Duration::from_millis(self.rng.random_range(1000..2000));
+        let length_ms = if self.plan.reused_ports { 200..600 } else { 1000..2000 };
+        let length = Duration::from_millis(self.rng.random_range(length_ms));
+        if self.plan.reused_ports {
+            self.burst_caller.restart_ports();
+        }
         self.expectations.borrow_mut().log_action(&format!("burst of {} ms", length.as_millis()));
         let until = Instant::now() + length;
         self.expectations.borrow_mut().last_burst = Some(until);
--- a/crates/dillmill-standins/src/flow_soak/faults.rs
+++ b/crates/dillmill-standins/src/flow_soak/faults.rs
@@ -58,8 +58,24 @@
         Duration::from_millis(self.rng.random_range(20..most_ms))
     }
 
+    /// Starts a burst that uses ports again, or injects a fault that lets the packets of flows go through other
+    /// balancers than before.
+    async fn next_with_reused_ports(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
+        let balancer = format!("balancer-{}", self.rng.random_range(1..=self.plan.balancers));
+        match self.rng.random_range(0..8) {
+            0..=2 => self.burst(fleet, false).await,
+            3 => self.burst(fleet, true).await,
+            4 => self.change_route(fleet).await,
+            5 | 6 => self.kill_all(&BTreeSet::from([balancer]), fleet).await,
+            _ => self.pause(&balancer, fleet).await,
+        }
+    }
+
     /// Injects one random fault.
     pub(super) async fn next(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
+        if self.plan.reused_ports {
+            return self.next_with_reused_ports(fleet).await;
+        }
         let kinds = match (self.plan.layout.zones, self.plan.layout.overload) {
             (_, true) => 19,
             (1, false) => 12,
@@ -68,7 +84,10 @@
         match self.rng.random_range(0..kinds) {
             0 | 1 => self.kill(fleet).await,
             2 => self.stop(fleet).await,
-            3 | 4 => self.pause(fleet).await,
+            3 | 4 => {
+                let vm = self.random_vm();
+                self.pause(&vm, fleet).await
+            }
             5 => self.replace_target(fleet).await,
             6 => self.drain_target(fleet).await,
             7 | 8 => self.change_route(fleet).await,
@@ -89,12 +108,20 @@
     async fn kill(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
         let count = self.rng.random_range(1..=3);
         let vms: BTreeSet<String> = (0..count).map(|_| self.random_vm()).collect();
-        for vm in &vms {
+        self.kill_all(&vms, fleet).await
+    }
+
+    async fn kill_all(
+        &mut self,
+        vms: &BTreeSet<String>,
+        fleet: &mut FlowFleet,
+    ) -> Result<(), StandinError> {
+        for vm in vms {
             self.record_fault(vm, "kill");
             fleet.kill(vm)?;
         }
         compio::time::sleep(self.random_delay(800)).await;
-        for vm in &vms {
+        for vm in vms {
             fleet.run(vm)?;
             self.record_fault(vm, "start");
         }
@@ -112,13 +139,12 @@
         Ok(())
     }
 
-    async fn pause(&mut self, fleet: &mut FlowFleet) -> Result<(), StandinError> {
-        let vm = self.random_vm();
-        self.record_fault(&vm, "pause");
-        fleet.freeze(&vm)?;
+    async fn pause(&mut self, vm: &str, fleet: &mut FlowFleet) -> Result<(), StandinError> {
+        self.record_fault(vm, "pause");
+        fleet.freeze(vm)?;
         compio::time::sleep(self.random_delay(1500)).await;
-        fleet.thaw(&vm)?;
-        self.record_fault(&vm, "resume");
+        fleet.thaw(vm)?;
+        self.record_fault(vm, "resume");
         Ok(())
     }
 
--- a/crates/dillmill-standins/src/flow_soak/soak_plan.rs
+++ b/crates/dillmill-standins/src/flow_soak/soak_plan.rs
@@ -12,6 +12,9 @@
 /// Seeds from this one on run with routes of two priorities, to targets of few slots that take time for a
 /// request.
 const FIRST_OVERLOAD_SEED: u64 = 500;
+/// Seeds from this one on run with short bursts on the ports of earlier ones, between which routes change
+/// and balancers are killed or paused.
+const FIRST_REUSED_PORTS_SEED: u64 = 10_000;
 /// Seeds from this one on run with planned operations only, which come in series and overlap.
 const FIRST_PLANNED_SEED: u64 = 20_000;
 /// Seeds from this one on do so with many processes.
@@ -28,6 +31,8 @@
     /// Targets of each service.
     pub(super) targets: u8,
     pub(super) callers: u8,
+    /// Bursts use the ports of earlier ones again.
+    pub(super) reused_ports: bool,
     /// Only planned operations, none of which callers may notice.
     pub(super) planned: bool,
 }
@@ -45,6 +50,7 @@
             FIRST_PLANNED_SEED.. => (4, 5, 10),
             _ => (3, 3, 6),
         };
-        Self { layout, balancers, targets, callers, planned }
+        let reused_ports = (FIRST_REUSED_PORTS_SEED..FIRST_PLANNED_SEED).contains(&seed);
+        Self { layout, balancers, targets, callers, reused_ports, planned }
     }
 }
