--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -8,7 +8,8 @@
 //! - 48: a new flow was answered by the next service of the route before the soak had recorded the change;
 //!   this was a fault of the soak itself.
 //! - 504: a guarantee was violated in one of nine runs in which each burst used the ports of earlier flows
-//!   again. Which one is not known, nor whether the ports were the cause.
+//!   again. Which one is not known; packets of flows on such ports could go to the targets of the earlier
+//!   flows, see `later_flow_of_a_port_found`.
 //! - 9146, 9158: new flows were refused after the configuration first named their service, see
 //!   `first_route_served`.
 //! - 9229, and 10 in CI: an agent whose target left just after the start of the fleet refused new flows, as
