--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -102,11 +102,12 @@
 ) -> Result<(), StandinError> {
     if faults.plan.planned {
         faults.run_planned(fleet, until).await?;
-    }
-    while Instant::now() < until {
-        faults.next(fleet).await?;
-        let pause = faults.rng.random_range(50..700);
-        compio::time::sleep(Duration::from_millis(pause)).await;
+    } else {
+        while Instant::now() < until {
+            faults.next(fleet).await?;
+            let pause = faults.rng.random_range(50..700);
+            compio::time::sleep(Duration::from_millis(pause)).await;
+        }
     }
     for task in callers {
         task.await.map_err(|_| StandinError::new("join a caller", "it panicked"))?;
