--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -14,7 +14,8 @@
 //!   `first_route_served`.
 //! - 9229, and 10 in CI: an agent whose target left just after the start of the fleet refused new flows, as
 //!   it had not heard yet that its siblings serve, see `early_leave_served`.
-//! - 10117: packets of new flows on ports used again went to the targets of earlier flows, see the same test.
+//! - 10117: packets of new flows on ports used again went to the targets of earlier flows, see
+//!   `later_flow_of_a_port_found`.
 //! - 20010: a stop signal killed a process that had just started, see `early_stop_obeyed`.
 //!
 //! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
