--- a/review/standins.py
+++ b/review/standins.py
@@ -12,6 +12,7 @@
 import queue
 import random
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -841,9 +842,15 @@
                        "idle-timeout-ms": idle_timeout_ms}}
 
 
+def stop_case(*_):
+    raise CannotRun("stopped before the end")
+
+
 def main(folder, case):
     """Runs `case(record, trouble)`, which returns what broke the rule, and exits as the issue asks."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A stop by `timeout` ends the started processes, too.
+    signal.signal(signal.SIGTERM, stop_case)
     record = Record(folder)
     record.add(f"TROUBLE={int(trouble)}")
     try:
