test(review): an error or a time-out of a script is no broken rule

An error of Python ended a script with 1, which means a broken rule, and a time-out with 124; both end with 2 now.

--- a/review/standins.py
+++ b/review/standins.py
@@ -47,6 +47,10 @@
     """The case could not be set up; its result says nothing."""
 
 
+# Exit code of a case whose rule was broken. run.sh makes it 1, and any other but 0 (an error of Python, a time-out) 2.
+BROKEN = 10
+
+
 # ---------------------------------------------------------------------------------------- packets
 
 def checksum(buf):
@@ -847,7 +851,7 @@
 
 
 def main(folder, case):
-    """Runs `case(record, trouble)`, which returns what broke the rule, and exits as the issue asks."""
+    """Runs `case(record, trouble)`, which returns what broke the rule, and exits with 0, 2 or `BROKEN`."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     # A stop by `timeout` ends the started processes, too.
     signal.signal(signal.SIGTERM, stop_case)
@@ -864,4 +868,4 @@
     record.add(verdict)
     print(verdict)
     sys.stdout.flush()
-    os._exit(1 if broken else 0)
+    os._exit(BROKEN if broken else 0)
