--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/harness ] && [ -x target/release/dillmill ] || exit 2
-exec timeout -k 1 118 target/review-2/harness silent "review/7/record.txt"
+exec timeout -k 1 118 target/review-2/harness watchers "review/7/record.txt"
