--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -389,7 +389,7 @@
         for n in 0..count {
             scope.spawn(move || {
                 let ends = Instant::now() + span;
-                let mut port = 20_000 + n * 1000;
+                let mut port = 20_000 + n * 600;
                 while Instant::now() < ends {
                     if callers.open(port, feed, None) {
                         callers.ask(
@@ -453,30 +453,36 @@
     !foreign.is_empty()
 }
 
-/// A server crashes and its address goes to a server of another service, whose first heartbeat comes within
-/// the usual interval.
+/// Three times a server crashes and its address goes to a server of another service, whose first heartbeat
+/// comes half a second after its start.
 fn reuse(record: &Arc<Record>, trouble: bool) -> bool {
-    // Within the interval of heartbeats, 1.2 s.
     let first_beat =
-        std::env::var("FIRST_BEAT_MS").ok().and_then(|ms| ms.parse().ok()).unwrap_or(1100);
+        std::env::var("FIRST_BEAT_MS").ok().and_then(|ms| ms.parse().ok()).unwrap_or(530);
     let first_beat = Duration::from_millis(first_beat);
     let net = Subnet::take();
-    let plan = plan(2, 3, 1);
+    let plan = plan(2, 5, 1);
     let mut world = World::start(&plan, record.clone(), &routes(net), 15_000, net);
     let feed = routes(net)[0].address;
-    let i = world.machines.iter().position(|m| m.service == Some("cotiza")).unwrap();
+    let span = Duration::from_secs(31);
     let callers = world.callers.clone();
-    let calls = thread::spawn(move || call(&callers, feed, 24, Duration::from_secs(12)));
+    let calls = thread::spawn(move || call(&callers, feed, 32, span));
     let callers = world.callers.clone();
-    let feeds = thread::spawn(move || long_feeds(&callers, feed, Duration::from_secs(12)));
-    thread::sleep(Duration::from_millis(2500));
-    if trouble {
-        world.machines[i].server.take().unwrap().stop();
-        record.note(&format!("the server at {} crashes", world.machines[i].ip));
-        // After `reuse-after-s` its address goes to another service.
+    let feeds = thread::spawn(move || long_feeds(&callers, feed, span));
+    let used: Vec<usize> = (0..world.machines.len())
+        .filter(|i| world.machines[*i].service == Some("cotiza"))
+        .take(3)
+        .collect();
+    for i in used {
         thread::sleep(Duration::from_millis(2500));
-        let second = world.run_server(i, Some("cuadre"), &plan, Some(first_beat));
-        record.note(&format!("server {second} of cuadre starts at {}", world.machines[i].ip));
+        if trouble {
+            world.machines[i].server.take().unwrap().stop();
+            record.note(&format!("the server at {} crashes", world.machines[i].ip));
+            // After `reuse-after-s` its address goes to another service.
+            thread::sleep(Duration::from_millis(2500));
+            let second = world.run_server(i, Some("cuadre"), &plan, Some(first_beat));
+            record.note(&format!("server {second} of cuadre starts at {}", world.machines[i].ip));
+        }
+        thread::sleep(Duration::from_millis(4500));
     }
     let _ = calls.join();
     let _ = feeds.join();
