--- a/review/harness-2/main.rs
+++ b/review/harness-2.rs
@@ -3,7 +3,9 @@
 //! `harness CASE RECORD` exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 //! `TROUBLE=0` leaves out the disruption.
 
+#[path = "harness-2-net.rs"]
 mod net;
+#[path = "harness-2-parts.rs"]
 mod parts;
 
 use std::path::Path;
