fix(agent): give no new flows to a target whose run is not confirmed

Callers' requests were run by a target of another service. A target had crashed, its address went to another service, and until the new target's first heartbeat its agent gave it new flows of the former service.

The age of the last heartbeat played no part in giving a target new flows, so an idle target could be replaced unnoticed.

Change: a heartbeat confirms its run for 1.5 intervals, or for the time in which an address is not used again (reuse-after-s, now read from the settings) less 0.2 s. Without confirmation the target gets no new flows. A returned packet of a flow that the run took revokes it, and returned packets no longer end a silence. Heartbeats queued during a pause of the agent count from its start.

--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -23,6 +23,7 @@
 use crate::flow_directory::{FlowDirectory, FlowRecord};
 use crate::generation_cache::GenerationCache;
 use crate::open_queue::OpenQueue;
+use crate::run_confirmation::RunConfirmation;
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::TargetFlows;
 use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
@@ -90,6 +91,8 @@
     drain: DrainReasons,
     started: Timestamp,
     heartbeat_every: Duration,
+    /// Whether the current run of the target can be given new flows.
+    run: RunConfirmation,
     /// Time after the start in which the agent does not share load.
     sharing_delay: Duration,
     /// The target has started after the agent, so the agent knows each of its flows.
@@ -126,6 +129,7 @@
             drain: DrainReasons::default(),
             started: now,
             heartbeat_every: DEFAULT_HEARTBEAT_INTERVAL,
+            run: RunConfirmation::new(DEFAULT_HEARTBEAT_INTERVAL, now),
             sharing_delay: sharing::SHARING_START_DELAY,
             full_coverage: false,
             flows: TargetFlows::default(),
@@ -143,6 +147,14 @@
     #[must_use]
     pub fn heartbeat_every(mut self, every: Duration) -> Self {
         self.heartbeat_every = every;
+        self.run = RunConfirmation::new(every, self.started);
+        self
+    }
+
+    /// Sets the minimum time between the end of a target and the start of another one at its address.
+    #[must_use]
+    pub fn address_kept_for(mut self, kept: Duration) -> Self {
+        self.run = self.run.address_kept_for(kept);
         self
     }
 
@@ -191,7 +203,13 @@
             .and_then(|i| self.trials.get(i))
             .cloned()
             .flatten();
-        self.flows.heard();
+        if !self.target_silent(now) {
+            // Another run returns packets as well, so they do not show that a silent one is back.
+            self.flows.heard();
+        }
+        if let Some(taken) = self.flows.open_since(&seg.flow) {
+            self.run.lost_flow(taken, now);
+        }
         let ended = self.flows.remove_returned(&seg.flow);
         self.not_held.insert(seg.flow, (), now);
         match (ended, trial) {
--- a/crates/dillmill-core/src/flow/flow_gate/target.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/target.rs
@@ -123,6 +123,7 @@
     ) -> RunChange {
         self.service = service;
         self.full_coverage = true;
+        self.run.begin(now);
         self.cold.restart();
         self.no_target_since = None;
         let ended_before = match predecessor {
@@ -138,9 +139,24 @@
         RunChange { ended, in_doubt: self.flows.open().map(|(flow, _)| flow).collect() }
     }
 
-    /// Notes that the target is alive.
-    pub fn heard(&mut self) {
+    /// Notes a heartbeat of the current run of the target, which was sent at `sent` or later.
+    pub fn heartbeat(&mut self, sent: Timestamp) {
         self.flows.heard();
+        self.run.confirm(sent);
+    }
+
+    /// Notes that the agent was paused from `since` on. Answers that the target sent during the pause may
+    /// not be handled yet, so only silence that began earlier counts.
+    pub fn resume_after_pause(&mut self, since: Timestamp) {
+        if !self.target_silent(since) {
+            self.flows.heard();
+        }
+    }
+
+    /// Returns whether the run of the target that the agent knows still holds the target's address.
+    #[must_use]
+    pub fn is_run_confirmed(&self, now: Timestamp) -> bool {
+        self.run.is_valid(now)
     }
 
     /// Returns whether the target no longer answers anything.
@@ -197,6 +213,7 @@
     pub fn can_serve(&self, now: Timestamp) -> bool {
         !self.drain.stopping
             && !self.target_silent(now)
+            && self.is_run_confirmed(now)
             && match self.standing {
                 TargetStanding::Ready => true,
                 TargetStanding::Unknown => self.presence != TargetPresence::Absent,
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`target_speed`] | how long a target takes for a request |
 //! | [`flow_demand`] | how much load the open flows of a target are expected to bring |
 //! | [`target_runs`] | which run of a target a heartbeat belongs to |
+//! | [`run_confirmation`] | whether the known run of a target still holds its address |
 //! | [`link_admission`] | which uploads are admitted to the VM's link |
 //! | [`link_queue`] | which datagram leaves next over the VM's link, and when |
 //! | [`pending_searches`] | when a search for an owner that had no result is repeated |
@@ -76,8 +77,8 @@
 };
 pub use membership::member;
 pub use target::{
-    answer_norms, caller_packets, flow_demand, outcomes, service_time, target_flows, target_load,
-    target_pace, target_run, target_runs, target_speed,
+    answer_norms, caller_packets, flow_demand, outcomes, run_confirmation, service_time,
+    target_flows, target_load, target_pace, target_run, target_runs, target_speed,
 };
 
 pub use admission_level::AdmissionLevel;
@@ -114,6 +115,7 @@
 pub use registrations::{RecordBatch, Registrations};
 pub use return_schedule::ReturnSchedule;
 pub use route_table::{RouteEntry, RouteTable};
+pub use run_confirmation::RunConfirmation;
 pub use secret::Secret;
 pub use segment::{Segment, SegmentKind};
 pub use service_tag::ServiceTag;
--- a/crates/dillmill-core/src/pause_detector.rs
+++ b/crates/dillmill-core/src/pause_detector.rs
@@ -24,7 +24,11 @@
 
     /// Returns whether the process was paused since the last call.
     pub fn was_paused(&mut self, now: Timestamp) -> bool {
-        let last = self.last.replace(now);
-        last.is_some_and(|last| now.since(last) > self.limit)
+        self.paused_since(now).is_some()
+    }
+
+    /// Returns the time of the last call if the process was paused since then.
+    pub fn paused_since(&mut self, now: Timestamp) -> Option<Timestamp> {
+        self.last.replace(now).filter(|last| now.since(*last) > self.limit)
     }
 }
--- a/crates/dillmill-core/src/target.rs
+++ b/crates/dillmill-core/src/target.rs
@@ -10,6 +10,7 @@
 //! | [`target_load`] | requests and flows of the target |
 //! | [`target_run`] | identity of one run of a target |
 //! | [`target_runs`] | run of the target that a heartbeat belongs to |
+//! | [`run_confirmation`] | whether the known run may have lost its address to another target |
 //! | [`target_pace`] | speed of a target, as load reports carry it |
 //! | [`target_speed`] | estimate of the speed of a target |
 //! | [`service_time`] | usual time of a route's requests |
@@ -23,6 +24,7 @@
 pub mod flow_demand;
 mod flow_match;
 pub mod outcomes;
+pub mod run_confirmation;
 pub mod service_time;
 mod slot_use;
 pub mod target_flows;
--- a/crates/dillmill-core/src/target/target_flows.rs
+++ b/crates/dillmill-core/src/target/target_flows.rs
@@ -163,6 +163,12 @@
         known.target_seq.map(|_| known.stage != Stage::Opening)
     }
 
+    /// Returns when the target took the flow, if the flow is open.
+    #[must_use]
+    pub fn open_since(&self, flow: &FlowTuple) -> Option<Timestamp> {
+        self.flows.peek(flow).filter(|flow| flow.stage == Stage::Open).map(|flow| flow.taken_at)
+    }
+
     /// Records that the target has shown activity.
     pub fn heard(&mut self) {
         self.unanswered_since = None;
--- a/crates/dillmill-core/tests/cold_starts.rs
+++ b/crates/dillmill-core/tests/cold_starts.rs
@@ -354,6 +354,18 @@
     }
 }
 
+/// Steps of 5 ms between two heartbeats of the simulated target.
+const HEARTBEAT_STEPS: u64 = 240;
+
+/// Sends a heartbeat of the target, the first of a run if it has `started` again.
+fn send_heartbeat(gate: &mut FlowGate, target: &Target, started: bool, now: Timestamp) {
+    if started {
+        gate.new_target(orders(), Predecessor::Unsure, START);
+        gate.set_cold(target.cold_until.since(now), now);
+    }
+    gate.heartbeat(now);
+}
+
 /// Simulates the load after a power failure, in one process and in steps of 5 ms. A target that can take
 /// 10 requests per second for 2 s gets 42 per second, from callers with an attempt timeout of 850 ms and
 /// three attempts. Returns how many of the requests of the first 6 s are answered within 2.5 s, the
@@ -380,10 +392,10 @@
     let mut refused: Vec<(usize, Timestamp)> = Vec::new();
     for step in 0..1800_u64 {
         let now = START + ms(step * 5);
-        if target.cold_until != reported_cold_until && now >= target.back_at {
+        let started = target.cold_until != reported_cold_until;
+        if now >= target.back_at && (started || step % HEARTBEAT_STEPS == 0) {
+            send_heartbeat(&mut gate, &target, started, now);
             reported_cold_until = target.cold_until;
-            gate.new_target(orders(), Predecessor::Unsure, START);
-            gate.set_cold(target.cold_until.since(now), now);
         }
         for port in target.work(now) {
             gate.answered(&segment(port, SegmentKind::Data, 500), now);
--- a/crates/dillmill-core/tests/flow_gates.rs
+++ b/crates/dillmill-core/tests/flow_gates.rs
@@ -743,6 +743,7 @@
         gate.arrived(&request(1), &envelope(PacketPurpose::Deliver), context, now);
         now = now + Duration::from_millis(work_ms);
         gate.answered(&Segment { len: 10, ..segment(1, SegmentKind::Data) }, now);
+        gate.heartbeat(now);
     }
     let mut taken = 0;
     for port in 100..200 {
@@ -791,7 +792,7 @@
     assert!(gate.target_silent(later));
     let verdict = gate.arrived(&open(2), &place(), context, later);
     assert!(matches!(verdict, Verdict::Pass { reason: PassReason::Leaving, .. }), "{verdict:?}");
-    gate.heard();
+    gate.heartbeat(later);
     let verdict = gate.arrived(&open(3), &place(), context, later);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
     gate.answered(&accept(3), later);
@@ -1198,7 +1199,7 @@
     let env = envelope(PacketPurpose::Place { passed });
     let verdict = arrived(&mut gate, &open(5), &env, context);
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
-    gate.heard();
+    gate.heartbeat(NOW);
     let verdict = gate.arrived(&open(6), &place(), context, NOW + Duration::from_millis(500));
     assert!(matches!(verdict, Verdict::Deliver { .. }), "{verdict:?}");
 }
@@ -1232,7 +1233,7 @@
     gate.note_overdue(early);
     assert!(!gate.target_failing(early));
     let late = NOW + Duration::from_millis(450);
-    gate.heard();
+    gate.heartbeat(late);
     gate.note_overdue(late);
     assert_eq!(gate.target_failing(late), !answers);
     let verdict = gate.arrived(&open(20), &place(), context, late);
--- a/crates/dillmill-core/tests/load_sharing/main.rs
+++ b/crates/dillmill-core/tests/load_sharing/main.rs
@@ -68,6 +68,7 @@
     let terms = WaitTerms::new(0, Duration::from_millis(150), START);
     let (flow, envelope) = (segment(1, SegmentKind::Open { copies: 0 }, 0).flow, envelope(place()));
     gate.wait(WaitingOpen { flow, packet: Vec::new(), envelope, terms });
+    gate.heartbeat(START + Duration::from_secs(4));
     assert!(!gate.under_pressure(START + Duration::from_millis(4999)));
     assert!(gate.under_pressure(START + Duration::from_secs(5)));
 }
--- a/crates/dillmill-core/tests/load_sharing/world.rs
+++ b/crates/dillmill-core/tests/load_sharing/world.rs
@@ -21,6 +21,8 @@
 pub(crate) const START: Timestamp = Timestamp::from_millis(1_000_000);
 pub(crate) const TRANSIT: Duration = Duration::from_millis(1);
 const TICK: Duration = Duration::from_millis(100);
+/// Interval between two heartbeats of a target.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 pub(crate) const SLOTS: u16 = 2;
 pub(crate) const WORK_MS: u32 = 29;
 const ATTEMPT: Duration = Duration::from_millis(1400);
@@ -65,6 +67,8 @@
     pub(crate) rounds: ExchangeRounds,
     pub(crate) running: u16,
     pub(crate) backlog: Vec<u32>,
+    /// Time of the target's last heartbeat.
+    pub(crate) heard: Timestamp,
     pub(crate) dead: bool,
     pub(crate) queue_sum: usize,
 }
@@ -123,6 +127,7 @@
                 rounds: ExchangeRounds::default(),
                 running: 0,
                 backlog: Vec::new(),
+                heard: START,
                 dead: false,
                 queue_sum: 0,
             }
@@ -240,6 +245,10 @@
                 self.schedule(TICK, Event::Tick { at });
                 let agent = &mut self.agents[at];
                 agent.queue_sum += agent.gate.waiting();
+                if now.since(agent.heard) >= HEARTBEAT_INTERVAL {
+                    agent.heard = now;
+                    agent.gate.heartbeat(now);
+                }
                 self.serve(at);
                 self.exchange(at);
             }
--- a/crates/dillmill-core/tests/priority_loads/simulation.rs
+++ b/crates/dillmill-core/tests/priority_loads/simulation.rs
@@ -58,6 +58,7 @@
 enum Event {
     Asked(usize),
     Packet { request: usize, attempt: u16, kind: u32, opens: bool },
+    Heartbeat,
     Done(usize),
 }
 
@@ -234,6 +235,7 @@
                     self.decide(request, &self.seg(request, attempt, seg), None, now);
                 }
             }
+            Event::Heartbeat => self.gate.heartbeat(now),
             Event::Done(request) => {
                 self.busy -= 1;
                 let seg =
@@ -290,6 +292,9 @@
                 self.at(at, Event::Asked(kind));
             }
         }
+        for n in 0..LOAD_SECONDS + 10 {
+            self.at(START + Duration::from_secs(n), Event::Heartbeat);
+        }
         while let Some(Reverse((now, _, event))) = self.events.pop() {
             self.event(event, now);
         }
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -78,10 +78,20 @@
     Sound,
     /// The target answers nothing.
     Silent,
+    /// Its run has not been confirmed by a heartbeat for so long, or has lost a flow, that another target
+    /// may have its address.
+    Unconfirmed,
     /// The target breaks off the requests that it is given.
     Failing,
 }
 
+/// A time in which this process did not run.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    since: Timestamp,
+    until: Timestamp,
+}
+
 /// A balancer that sends new flows to this agent and gets load reports in return.
 #[derive(Debug, Clone, Copy)]
 struct ReportSubscriber {
@@ -127,6 +137,7 @@
     announced: Announcement,
     announcement: Announcement,
     pauses: PauseDetector,
+    last_pause: Option<Pause>,
     stopping: Option<(StopRequest, Timestamp)>,
 }
 
@@ -152,7 +163,8 @@
         let tag = ServiceTag::from(&service);
         Ok(Self {
             gate: FlowGate::new(handle.process, settings.packets, tag, now)
-                .heartbeat_every(settings.heartbeat_every),
+                .heartbeat_every(settings.heartbeat_every)
+                .address_kept_for(settings.address_reuse_after),
             log: DecisionLog::new(handle.journal.clone(), now),
             views: handle.views(),
             handle,
@@ -182,6 +194,7 @@
             announced: announcement.clone(),
             announcement,
             pauses: PauseDetector::new(TICK * 2),
+            last_pause: None,
             stopping: None,
         })
     }
@@ -214,10 +227,9 @@
         ]);
         while let Some(event) = events.next().await {
             let now = self.handle.clock.now();
-            if self.pauses.was_paused(now) {
-                // Answers that the target sent during the pause are still in the socket buffer, so the
-                // target must not be taken for silent.
-                self.gate.heard();
+            if let Some(since) = self.pauses.paused_since(now) {
+                self.gate.resume_after_pause(since);
+                self.last_pause = Some(Pause { since, until: now });
             }
             if let Some(view) = self.views.newer() {
                 self.apply_view(&view, now);
--- a/crates/dillmill-flow/src/agent_task/heartbeats.rs
+++ b/crates/dillmill-flow/src/agent_task/heartbeats.rs
@@ -14,6 +14,9 @@
 
 use super::{AgentTask, TargetHealth};
 
+/// Time after a pause of this process in which calls that were sent during the pause are handled.
+const QUEUED_CALLS_WINDOW: Duration = Duration::from_millis(200);
+
 /// A refused heartbeat, kept in case the configuration names its service soon.
 #[derive(Debug)]
 pub(super) struct EarlyHeartbeat {
@@ -169,7 +172,7 @@
             }
         };
         self.early_heartbeat = None;
-        self.gate.heard();
+        self.gate.heartbeat(self.earliest_sending(now));
         self.gate.set_cold(Duration::from_millis(heartbeat.cold_ms), now);
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
@@ -180,6 +183,13 @@
         change
     }
 
+    /// Returns the earliest time at which a call that is handled at `now` can have been sent: calls are
+    /// queued while this process is paused.
+    fn earliest_sending(&self, now: Timestamp) -> Timestamp {
+        let pause = self.last_pause.filter(|pause| now.since(pause.until) < QUEUED_CALLS_WINDOW);
+        pause.map_or(now, |pause| pause.since)
+    }
+
     /// Applies the first heartbeat of a new run of the target.
     fn start_run(
         &mut self,
@@ -236,6 +246,11 @@
         if self.gate.target_silent(now) {
             return TargetHealth::Silent;
         }
+        let reported =
+            matches!(self.gate.standing(), TargetStanding::Ready | TargetStanding::Leaving);
+        if reported && !self.gate.is_run_confirmed(now) {
+            return TargetHealth::Unconfirmed;
+        }
         let service = self.gate.service();
         let siblings =
             || self.agents.iter().filter(|a| a.service == service && a.data != self.gate.data());
