fix(flow): each process checks by itself that its settings are the newest

Requests on a dropped route ran up to 3.8 s after the store's acknowledgement (limit 3 s) at machines without disruption, when 8 of 15 machines, the six with an entry in the store among them, had lost their power before the change.

Change: each process knows as of when its settings were the newest, from its own check or a peer's, which is gossiped with its age. Too old a confirmation makes it check by itself: the first process in the order of the store's users at 0.6 of the maximum age, the last at the maximum age, which is config-apply-ms less 0.6 s. The check of the watching processes becomes this one.

--- a/crates/dillmill-core/src/duties/store_selection.rs
+++ b/crates/dillmill-core/src/duties/store_selection.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Member, MemberStatus, ProcessId, Role, StoreReach};
+use crate::{CheckOrder, Member, MemberStatus, ProcessId, Role, StoreReach};
 
 /// Number of processes that keep an entry in the store, through which others join. The number is large
 /// enough that some remain if the store rejects a third of the fleet at once.
@@ -42,13 +42,33 @@
     if reachable.clone().count() >= n { is_first(me, reachable, n) } else { is_first(me, alive, n) }
 }
 
+/// Returns the place of `me` among the processes that check the store, in the order in which they are
+/// selected. A process that the store rejects comes last.
+#[must_use]
+pub fn check_order<'a>(me: &Member, members: impl Iterator<Item = &'a Member>) -> CheckOrder {
+    if me.store == StoreReach::Fails {
+        return CheckOrder::LAST;
+    }
+    let mine = rank(me);
+    let mut order = CheckOrder { before: 0, all: 0 };
+    let reachable = |m: &&Member| m.status < MemberStatus::Suspect && m.store != StoreReach::Fails;
+    for member in members.filter(reachable) {
+        order.all += 1;
+        order.before += usize::from(rank(member) < mine);
+    }
+    order
+}
+
+fn rank(member: &Member) -> (bool, u64, ProcessId) {
+    let hash = xxh3_64(&member.process.0.to_le_bytes());
+    (member.role == Role::Balancer, hash, member.process)
+}
+
 fn is_first<'a>(
     me: ProcessId,
     mut members: impl Iterator<Item = &'a Member> + Clone,
     n: usize,
 ) -> bool {
-    let rank =
-        |m: &Member| (m.role == Role::Balancer, xxh3_64(&m.process.0.to_le_bytes()), m.process);
     let Some(mine) = members.clone().find(|m| m.process == me).map(rank) else { return false };
     // Most processes find `n` others that rank before them within the first few records.
     members.by_ref().filter(|m| rank(m) < mine).take(n).count() < n
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -86,7 +86,7 @@
 pub use agent_load::AgentLoad;
 pub use agent_table::{AgentEntry, AgentTable};
 pub use caller_packets::CallerPackets;
-pub use check_schedule::CheckSchedule;
+pub use check_schedule::{CheckOrder, CheckSchedule, Confirmation};
 pub use cold_start::ColdStart;
 pub use directory_catch_up::DirectoryCatchUp;
 pub use early_packets::{EarlyPacket, EarlyPackets};
--- a/crates/dillmill-flow/src/operator_check.rs
+++ b/crates/dillmill-flow/src/operator_check.rs
@@ -1,14 +1,15 @@
 //! Checks with the store that no change of the operators' entries has been missed.
 //!
-//! A watch whose connection has gone silent can't be told from one that waits for a change. A check asks for
-//! the changes since the last known version on a connection of its own, and its answer comes at once.
+//! A watch whose connection has gone silent can't be told from one that waits for a change, and the processes
+//! that watch may be gone. A check asks for the changes since the last known version on a connection of its
+//! own, and its answer comes at once.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dillmill_core::{CheckSchedule, EventKind, StoreReach, store_selection};
+use dillmill_core::{CheckOrder, CheckSchedule, EventKind, Timestamp, store_selection};
 use dillmill_node::{Node, NodeHandle, View, ViewReceiver};
 use dillmill_platform::{
     Freshness, PlatformError, ProcessSettings, Store, Version, WatchOutcome, operator_key,
@@ -22,6 +23,9 @@
 /// Wait of the watch call of a check, which asks for the changes that there are.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
+/// Age below which a process does not know its place in the order of checks.
+const MIN_ORDER_AGE: Duration = Duration::from_secs(2);
+
 /// Version of the store up to which a process has read the operators' entries.
 pub(crate) type KnownVersion = Rc<Cell<Option<Version>>>;
 
@@ -54,7 +58,7 @@
             entries: OperatorEntries::new(handle.clone()),
             views: handle.views(),
             view: None,
-            schedule: CheckSchedule::new(settings.config_limit, handle.clock.now()),
+            schedule: CheckSchedule::new(settings.config_limit),
             known,
             missed,
             handle,
@@ -67,12 +71,15 @@
             compio::time::sleep(POLL_INTERVAL).await;
             self.view = self.views.newer().or(self.view.take());
             let now = self.handle.clock.now();
-            if !self.is_selected() || !self.schedule.is_due(now) {
+            if !self.is_due(now) {
                 continue;
             }
             self.handle.metrics.store_checks.inc();
             match self.check().await {
-                Ok(()) => self.schedule.confirm(now),
+                Ok(()) => {
+                    self.schedule.succeed();
+                    self.handle.confirm_settings(now);
+                }
                 Err(report) => {
                     self.schedule.fail(self.handle.clock.now());
                     self.handle.metrics.platform_errors.inc();
@@ -83,16 +90,22 @@
         }
     }
 
-    /// Returns whether this process watches the store, and the store answers it.
-    fn is_selected(&self) -> bool {
-        self.view.as_ref().is_some_and(|view| {
-            view.me.store == StoreReach::Answers
-                && store_selection::is_selected(
-                    view.me.process,
-                    view.members(),
-                    store_selection::WATCHERS,
-                )
-        })
+    /// Returns whether this process has to check its settings. A process without settings reads them by
+    /// other means.
+    fn is_due(&self, now: Timestamp) -> bool {
+        let Some(view) = self.view.as_ref().filter(|view| view.routes.is_some()) else {
+            return false;
+        };
+        let confirmed = self.handle.settings_confirmed.get();
+        if now.since(confirmed) < self.schedule.min_age() {
+            return false;
+        }
+        let order = if now.since(self.handle.started) < MIN_ORDER_AGE {
+            CheckOrder::LAST
+        } else {
+            store_selection::check_order(&view.me, view.members())
+        };
+        self.schedule.is_due(order, confirmed, now)
     }
 
     /// Puts the changes since the last known version in force.
--- a/crates/dillmill-node/src/control.rs
+++ b/crates/dillmill-node/src/control.rs
@@ -12,7 +12,8 @@
 use compio::net::UdpSocket;
 use dillmill_core::membership::Outgoing;
 use dillmill_core::{
-    Evacuations, EventKind, EventLog, Member, MemberStatus, Membership, Revision, Timestamp,
+    Evacuations, EventKind, EventLog, Member, MemberStatus, Membership, PauseDetector, Revision,
+    Timestamp,
 };
 use dillmill_settings::{Change, RouteTree, Tree};
 use dillmill_wire::stream::describe;
@@ -22,6 +23,7 @@
 use crate::views::ViewSender;
 use crate::{SettingsSource, TrafficKind, View};
 
+mod confirmations;
 mod evacuations;
 mod input;
 mod peer_sync;
@@ -29,6 +31,8 @@
 
 pub(crate) use input::Input;
 
+/// A longer gap between two ticks means that this process was paused.
+const MAX_TICK_GAP: Duration = Duration::from_millis(200);
 const TIMELINE_CAPACITY: usize = 4096;
 const MAX_DATAGRAM: usize = 8 * 1024;
 const REQUEST_LIFETIME: Duration = Duration::from_secs(10);
@@ -89,6 +93,9 @@
     pub(crate) settled: bool,
     /// Load of this agent's target, as last reported by the role.
     pub(crate) load: Option<LoadStatus>,
+    pub(crate) pauses: PauseDetector,
+    /// When this process last ran again after a pause.
+    pub(crate) resumed_at: Option<Timestamp>,
 }
 
 impl Control {
@@ -125,11 +132,14 @@
             settings_source,
             settled: false,
             load: None,
+            pauses: PauseDetector::new(MAX_TICK_GAP),
+            resumed_at: None,
         }
     }
 
     pub(crate) async fn run(mut self, rx: flume::Receiver<Input>) {
         while let Ok(input) = rx.recv_async().await {
+            self.note_pause(self.handle.clock.now());
             self.handle_input(input, self.handle.clock.now()).await;
             for input in rx.try_iter().take(MAX_INPUT_BATCH) {
                 self.handle_input(input, self.handle.clock.now()).await;
@@ -141,6 +151,12 @@
         }
     }
 
+    fn note_pause(&mut self, now: Timestamp) {
+        if self.pauses.was_paused(now) {
+            self.resumed_at = Some(now);
+        }
+    }
+
     fn update_settled(&mut self, now: Timestamp) {
         let before = std::mem::replace(&mut self.settled, self.membership.settled(now));
         if before != self.settled {
@@ -183,6 +199,7 @@
                 self.apply_evacuations(&source, evacuations).await;
             }
             Input::EvacuationChanges(changes) => self.apply_evacuation_changes(&changes).await,
+            Input::SettingsConfirmed { asked } => self.confirm_settings(asked, now).await,
             Input::Load(load) => self.load = Some(load),
             Input::UpdateMe(change) => {
                 self.announce_after = now;
@@ -253,6 +270,9 @@
             Message::Evacuations(evacuations) => {
                 self.apply_evacuations(&format!("peer {from}"), evacuations).await;
             }
+            Message::Confirmation(confirmation) => {
+                self.apply_confirmation(from, confirmation, now).await;
+            }
             Message::Pull { after } => self.send_changes(from, after).await,
             Message::Changes(changes) => {
                 self.apply_settings(&format!("peer {from}"), changes, None).await;
--- a/crates/dillmill-node/src/control/input.rs
+++ b/crates/dillmill-node/src/control/input.rs
@@ -79,6 +79,11 @@
     },
     /// Changes of the evacuation orders, from the platform.
     EvacuationChanges(Vec<EvacuationChange>),
+    /// The settings in force were the newest when the store was asked.
+    SettingsConfirmed {
+        /// Time of the call to the store.
+        asked: Timestamp,
+    },
     /// Load of this agent's target, which the status of the process contains.
     Load(LoadStatus),
     /// Changes this process's own member record.
--- a/crates/dillmill-node/src/handle.rs
+++ b/crates/dillmill-node/src/handle.rs
@@ -17,7 +17,7 @@
 
 use crate::control::Input;
 use crate::logging;
-use crate::{Clock, Framed, Metrics, NodeError, ViewReceiver};
+use crate::{Clock, ConfirmedAt, Framed, Metrics, NodeError, ViewReceiver};
 
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 
@@ -127,6 +127,8 @@
     pub journal: Journal,
     /// Key of the installation.
     pub key: ClusterKey,
+    /// Time as of which the settings in force were the newest; the start before any confirmation.
+    pub settings_confirmed: ConfirmedAt,
 }
 
 impl NodeHandle {
@@ -212,6 +214,12 @@
         let _ = self.tx.send(Input::EvacuationChanges(changes));
     }
 
+    /// Confirms that the settings put in force so far were the newest when the store was asked at `asked`, and
+    /// tells peers.
+    pub fn confirm_settings(&self, asked: Timestamp) {
+        let _ = self.tx.send(Input::SettingsConfirmed { asked });
+    }
+
     /// Sets the load of the agent's target, which the status of the process contains.
     pub fn put_load(&self, load: LoadStatus) {
         let _ = self.tx.send(Input::Load(load));
--- a/crates/dillmill-node/src/lib.rs
+++ b/crates/dillmill-node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod clock;
 pub mod config;
+pub mod confirmed_at;
 pub mod control;
 pub mod error;
 pub mod framed;
@@ -26,6 +27,7 @@
 
 pub use clock::Clock;
 pub use config::{LogLevel, ProcessConfig};
+pub use confirmed_at::ConfirmedAt;
 pub use error::NodeError;
 pub use framed::Framed;
 pub use handle::{
--- a/crates/dillmill-node/src/node.rs
+++ b/crates/dillmill-node/src/node.rs
@@ -15,8 +15,8 @@
 use crate::control::{Control, Input};
 use crate::sync_limit::SyncLimit;
 use crate::{
-    Clock, Framed, IncomingForward, Journal, Metrics, NodeError, NodeHandle, ProcessConfig,
-    TrafficKind, admin, logging, store_task,
+    Clock, ConfirmedAt, Framed, IncomingForward, Journal, Metrics, NodeError, NodeHandle,
+    ProcessConfig, TrafficKind, admin, logging, store_task,
 };
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -92,7 +92,16 @@
         let (tx, rx) = flume::unbounded();
         let journal = Journal { tx: tx.clone(), clock, vm: config.vm.clone() };
         let process = ProcessId(rand::rng().random());
-        let handle = NodeHandle { tx: tx.clone(), process, started, clock, metrics, journal, key };
+        let handle = NodeHandle {
+            tx: tx.clone(),
+            process,
+            started,
+            clock,
+            metrics,
+            journal,
+            key,
+            settings_confirmed: ConfirmedAt::new(started),
+        };
         let me = Member {
             started,
             weight: spec.weight,
--- a/crates/dillmill-node/src/traffic.rs
+++ b/crates/dillmill-node/src/traffic.rs
@@ -91,7 +91,10 @@
                 | FlowMessage::RecordsComplete { .. },
             ) => Self::Directory,
             Message::Flow(_) => Self::Owner,
-            Message::Pull { .. } | Message::Changes(_) | Message::Evacuations(_) => Self::Settings,
+            Message::Pull { .. }
+            | Message::Changes(_)
+            | Message::Evacuations(_)
+            | Message::Confirmation(_) => Self::Settings,
             Message::PeerRequest { .. } | Message::Reply { .. } => Self::Claim,
         }
     }
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -34,6 +34,8 @@
 const STORE_PORT: u16 = 18169;
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 const PROCESS_TIMEOUT: Duration = Duration::from_secs(20);
+/// Prefix of the keys of process entries.
+const PROCESS_PREFIX: &str = "dillmill/processes/";
 const STORE_HOST: u8 = 1;
 const PROXY_HOST: u8 = 2;
 const FIRST_CALLER: u8 = 200;
@@ -254,6 +256,29 @@
         Ok(())
     }
 
+    /// Returns the names of the VMs whose processes have an entry in the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn registered(&self) -> Result<Vec<String>, StandinError> {
+        let page = self.store.list(PROCESS_PREFIX, "", Freshness::Newest).await;
+        let page = page.map_err(|e| StandinError::new("list entries", e.current_context()))?;
+        let addresses: Vec<SocketAddrV4> = page
+            .entries
+            .iter()
+            .filter_map(|entry| std::str::from_utf8(&entry.value).ok()?.parse().ok())
+            .collect();
+        let has_entry = |vm: &Vm| addresses.iter().any(|addr| *addr.ip() == vm.settings.ip);
+        Ok(self.vms.iter().filter(|(_, vm)| has_entry(vm)).map(|(name, _)| name.clone()).collect())
+    }
+
+    /// Returns the names of all VMs.
+    #[must_use]
+    pub fn names(&self) -> Vec<String> {
+        self.vms.keys().cloned().collect()
+    }
+
     /// Returns the number of watches that wait for a change at the store.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -92,6 +92,16 @@
         Ok(())
     }
 
+    /// Takes the power from a VM: its process and its target end at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM has no running process.
+    pub fn power_off(&mut self, name: &str) -> Result<(), StandinError> {
+        self.vm(name)?.target = None;
+        self.kill(name)
+    }
+
     /// Requests the planned stop of the process of a VM, and returns whether it ended with success.
     ///
     /// # Errors
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use dillmill_core::store_selection::WATCHERS;
+use dillmill_core::store_selection::{REGISTERED_PROCESSES, WATCHERS};
 use dillmill_standins::flow_fleet::wait;
 use dillmill_standins::platform::PlatformFaults;
 use dillmill_standins::{FlowCaller, FlowError, FlowFleet, OpenFlow, StandinError};
@@ -511,3 +511,35 @@
         Ok(())
     });
 }
+
+/// All processes that watch the store or have an entry in it lose their power just before a change. The
+/// others had to detect that before one of them read the store: the change was in force after up to 4.9 s.
+#[test]
+fn lost_watchers_replaced() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(2, &[("orders", 5), ("labels", 5)]).await?;
+        wait_for_watches(&fleet).await?;
+        let started = Instant::now();
+        while fleet.registered().await?.len() < REGISTERED_PROCESSES {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "too few processes have an entry");
+            compio::time::sleep(Duration::from_millis(25)).await;
+        }
+        compio::time::sleep(Duration::from_secs(2)).await;
+
+        let lost = fleet.registered().await?;
+        for name in &lost {
+            fleet.power_off(name)?;
+        }
+        fleet.set_routes(2, "labels", &["orders"]).await?;
+        let changed = Instant::now();
+        for name in fleet.names() {
+            while !lost.contains(&name)
+                && fleet.metric(&name, "dillmill_settings_revision").await? < 2.0
+            {
+                assert!(changed.elapsed() < CONFIG_LIMIT, "{name} lacks the change");
+                compio::time::sleep(Duration::from_millis(25)).await;
+            }
+        }
+        Ok(())
+    });
+}
--- a/crates/dillmill-wire/src/message.rs
+++ b/crates/dillmill-wire/src/message.rs
@@ -5,7 +5,7 @@
 };
 use dillmill_core::membership::Probe;
 use dillmill_core::placement::LoadReport;
-use dillmill_core::{Evacuations, ProcessId, Revision, ServiceName};
+use dillmill_core::{Confirmation, Evacuations, ProcessId, Revision, ServiceName};
 use dillmill_settings::Change;
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,8 @@
         /// Content of the reply.
         reply: Reply,
     },
+    /// States as of when the sender's settings were the newest; earlier versions ignore it.
+    Confirmation(Confirmation),
 }
 
 /// A request from one agent of a service to another.
