fix(agent): remember a flow for as long as the settings let it rest

Flows that had rested for 46 s, with an idle time-out of 50 s in the configuration, were reset by balancers although their targets held them.

Cause: an agent forgot a flow 20 to 40 s after its last packet, a constant beside the setting, and still stated that it knew all flows of its target.

Change: FlowLifetimes derives the lifetimes of flows, records and coverage from the configuration's idle time-out and max-flow-s of the settings file, which had no reader. A changed time-out also holds for flows at rest.

--- a/crates/dillmill-core/src/flow.rs
+++ b/crates/dillmill-core/src/flow.rs
@@ -8,6 +8,7 @@
 //! | `target_cost` | cost of a new flow at a target, by which the placement compares agents |
 //! | [`flow_volume`] | mean number of bytes and requests that callers send in a flow |
 //! | [`flow_kinds`] | which routes have flows that carry several requests |
+//! | [`flow_lifetimes`] | how long a flow is remembered |
 //! | [`route_table`] | routes in force, by address |
 //! | [`agent_table`] | agents known to a process, by service, ring position and address |
 //! | [`home_table`] | agent that receives the first packet of a QUIC flow |
@@ -26,6 +27,7 @@
 pub mod flow_directory;
 pub mod flow_gate;
 pub mod flow_kinds;
+pub mod flow_lifetimes;
 pub mod flow_placement;
 pub mod flow_volume;
 pub mod home_table;
--- a/crates/dillmill-core/src/flow/flow_directory.rs
+++ b/crates/dillmill-core/src/flow/flow_directory.rs
@@ -6,11 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::generation_cache::GenerationCache;
-use crate::{FlowTuple, ProcessId, Timestamp};
+use crate::{FlowLifetimes, FlowTuple, ProcessId, Timestamp};
 
-/// Time for which a record is kept: longer than the age of the oldest flow that must be found
-/// again. Owners register their flows again when the directories change.
-const RECORD_LIFETIME: Duration = Duration::from_secs(70);
 /// Maximum number of flows in one generation. 7.7 million flows with two directories each, over
 /// 5,600 agents, are 2,750 per agent.
 const CAPACITY: usize = 50_000;
@@ -39,7 +36,8 @@
     pub data: SocketAddrV4,
 }
 
-/// The records that a directory keeps for other agents.
+/// The records that a directory keeps for other agents. Owners register their flows again when the
+/// directories change.
 #[derive(Debug)]
 pub struct FlowDirectory {
     records: GenerationCache<FlowTuple, Vec<FlowRecord>>,
@@ -47,11 +45,23 @@
 
 impl Default for FlowDirectory {
     fn default() -> Self {
-        Self { records: GenerationCache::new(RECORD_LIFETIME, CAPACITY) }
+        Self::new(FlowLifetimes::default().record())
     }
 }
 
 impl FlowDirectory {
+    /// Creates a directory that keeps a record for `lifetime`.
+    #[must_use]
+    pub fn new(lifetime: Duration) -> Self {
+        Self { records: GenerationCache::new(lifetime, CAPACITY) }
+    }
+
+    /// Sets the time for which a record is kept: longer than the age of the oldest flow that must be
+    /// found again.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.records.set_lifetime(lifetime);
+    }
+
     /// Adds a record.
     pub fn register(&mut self, record: FlowRecord, now: Timestamp) {
         let mut claims = self.records.remove(&record.flow).unwrap_or_else(|| Vec::with_capacity(1));
--- a/crates/dillmill-core/src/flow/flow_gate.rs
+++ b/crates/dillmill-core/src/flow/flow_gate.rs
@@ -26,7 +26,7 @@
 use crate::run_confirmation::RunConfirmation;
 use crate::segment::{Segment, SegmentKind};
 use crate::target_flows::TargetFlows;
-use crate::{FlowTuple, ProcessId, ServiceTag, Timestamp};
+use crate::{FlowLifetimes, FlowTuple, ProcessId, ServiceTag, Timestamp};
 
 mod answered;
 mod arrival;
@@ -49,9 +49,6 @@
 pub use verdict::{PassReason, RefuseReason, TargetPresence, TargetStanding, Verdict};
 use waiting::DispatchedOpen;
 
-/// Age of the agent after which it knows each flow of its target: every flow that began before the
-/// agent started has ended by then or may be forgotten.
-const FULL_COVERAGE_AFTER: Duration = Duration::from_mins(1);
 /// Number of heartbeat intervals in which a live target sends at least two heartbeats. A target
 /// that sends none in this time is taken as absent.
 const MISSED_HEARTBEATS: f64 = 2.5;
@@ -91,6 +88,7 @@
     drain: DrainReasons,
     started: Timestamp,
     heartbeat_every: Duration,
+    lifetimes: FlowLifetimes,
     /// Whether the current run of the target can be given new flows.
     run: RunConfirmation,
     /// Time after the start in which the agent does not share load.
@@ -117,6 +115,7 @@
     /// Creates the gate of the agent `me`, which receives packets at `data`.
     #[must_use]
     pub fn new(me: ProcessId, data: SocketAddrV4, service: ServiceTag, now: Timestamp) -> Self {
+        let lifetimes = FlowLifetimes::default();
         Self {
             me,
             data,
@@ -129,20 +128,46 @@
             drain: DrainReasons::default(),
             started: now,
             heartbeat_every: DEFAULT_HEARTBEAT_INTERVAL,
+            lifetimes,
             run: RunConfirmation::new(DEFAULT_HEARTBEAT_INTERVAL, now),
             sharing_delay: sharing::SHARING_START_DELAY,
             full_coverage: false,
-            flows: TargetFlows::default(),
-            directory: FlowDirectory::default(),
+            flows: TargetFlows::new(lifetimes.held()),
+            directory: FlowDirectory::new(lifetimes.record()),
             opens: OpenQueue::new(now),
             dispatched: VecDeque::new(),
             last_unservable_search: Timestamp::default(),
             trials: vec![None; MAX_TRIALS],
             next_trial: 0,
-            not_held: GenerationCache::new(FULL_COVERAGE_AFTER, NOT_HELD_CAPACITY),
+            not_held: GenerationCache::new(lifetimes.full_coverage(), NOT_HELD_CAPACITY),
         }
     }
 
+    /// Sets the age of the oldest flow that must survive.
+    #[must_use]
+    pub fn max_flow_age(mut self, max_age: Duration) -> Self {
+        self.set_lifetimes(self.lifetimes.max_age(max_age));
+        self
+    }
+
+    /// Sets the time for which a flow may rest and must still survive.
+    pub fn set_idle_timeout(&mut self, timeout: Duration) {
+        self.set_lifetimes(self.lifetimes.idle_timeout(timeout));
+    }
+
+    fn set_lifetimes(&mut self, lifetimes: FlowLifetimes) {
+        self.lifetimes = lifetimes;
+        self.flows.set_lifetime(lifetimes.held());
+        self.directory.set_lifetime(lifetimes.record());
+        self.not_held.set_lifetime(lifetimes.full_coverage());
+    }
+
+    /// Returns how long flows and records of them are remembered.
+    #[must_use]
+    pub fn lifetimes(&self) -> FlowLifetimes {
+        self.lifetimes
+    }
+
     /// Sets the interval of the target's heartbeats.
     #[must_use]
     pub fn heartbeat_every(mut self, every: Duration) -> Self {
--- a/crates/dillmill-core/src/flow/flow_gate/target.rs
+++ b/crates/dillmill-core/src/flow/flow_gate/target.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use super::{
-    FULL_COVERAGE_AFTER, FlowGate, GONE_GRACE_PERIOD, MISSED_HEARTBEATS, RunChange, TargetPresence,
-    TargetStanding,
+    FlowGate, GONE_GRACE_PERIOD, MISSED_HEARTBEATS, RunChange, TargetPresence, TargetStanding,
 };
 use crate::target_load::TargetLoad;
 use crate::target_runs::Predecessor;
@@ -40,7 +39,7 @@
     #[must_use]
     pub fn coverage(&self, now: Timestamp) -> FlowCoverage {
         let complete = self.full_coverage
-            || now.since(self.started) >= FULL_COVERAGE_AFTER
+            || now.since(self.started) >= self.lifetimes.full_coverage()
             || self.has_no_target(now);
         if complete { FlowCoverage::Complete } else { FlowCoverage::Partial }
     }
--- a/crates/dillmill-core/src/generation_cache.rs
+++ b/crates/dillmill-core/src/generation_cache.rs
@@ -28,6 +28,11 @@
         Self { young: HashMap::new(), old: HashMap::new(), lifetime, capacity, last_rotation: None }
     }
 
+    /// Sets the lifetime, also of the entries that the map holds.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.lifetime = lifetime;
+    }
+
     fn rotate_if_due(&mut self, now: Timestamp) {
         let last_rotation = *self.last_rotation.get_or_insert(now);
         if now.since(last_rotation) >= self.lifetime || self.young.len() >= self.capacity {
--- a/crates/dillmill-core/src/lib.rs
+++ b/crates/dillmill-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`flow_placement`] | which agent a balancer assigns a new packet flow to |
 //! | [`flow_gate`] | what an agent does with a packet: deliver, pass on, search, refuse |
 //! | [`flow_kinds`] | which routes have flows that carry several requests |
+//! | [`flow_lifetimes`] | how long a flow is remembered |
 //! | [`agent_table`] | in which order agents are queried for the owner of a flow |
 //! | [`evacuations`] | which data centres receive no new flows |
 //! | [`open_queue`] | which opening packet is served next at an overloaded target |
@@ -67,8 +68,8 @@
 pub use duties::{check_schedule, evacuations, start_delay, store_selection, watcher_selection};
 pub use flow::{
     agent_table, directory_catch_up, early_packets, envelope, flow_directory, flow_gate,
-    flow_kinds, flow_placement, flow_volume, home_table, owner_cache, pending_searches,
-    registrations, route_table,
+    flow_kinds, flow_lifetimes, flow_placement, flow_volume, home_table, owner_cache,
+    pending_searches, registrations, route_table,
 };
 pub use link::{link_admission, link_queue, link_rate};
 pub use load::{
@@ -97,6 +98,7 @@
 pub use flow_directory::{FlowDirectory, FlowRecord};
 pub use flow_gate::FlowGate;
 pub use flow_id::{FlowId, FlowIdError, FlowKey, FlowKeys};
+pub use flow_lifetimes::FlowLifetimes;
 pub use flow_placement::FlowPlacement;
 pub use flow_tuple::FlowTuple;
 pub use home_table::{Home, HomeTable};
--- a/crates/dillmill-core/src/target/caller_packets.rs
+++ b/crates/dillmill-core/src/target/caller_packets.rs
@@ -9,10 +9,8 @@
 
 use crate::generation_cache::GenerationCache;
 use crate::segment::{Segment, SegmentKind};
-use crate::{FlowTuple, Timestamp};
+use crate::{FlowLifetimes, FlowTuple, Timestamp};
 
-/// Time for which a packet is kept after the flow's last packet, as the flows of the target are.
-const LIFETIME: Duration = Duration::from_secs(20);
 /// Maximum number of packets in one generation. Most are bare acknowledgements of 34 bytes.
 const CAPACITY: usize = 4_000;
 
@@ -24,11 +22,17 @@
 
 impl Default for CallerPackets {
     fn default() -> Self {
-        Self { packets: GenerationCache::new(LIFETIME, CAPACITY) }
+        Self { packets: GenerationCache::new(FlowLifetimes::default().held(), CAPACITY) }
     }
 }
 
 impl CallerPackets {
+    /// Sets the time for which a packet is kept after the flow's last packet, as the flows of the target
+    /// are.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.packets.set_lifetime(lifetime);
+    }
+
     /// Keeps a packet that is given to the target, if it is the shortest of its flow so far.
     pub fn keep(&mut self, seg: &Segment, packet: &[u8], now: Timestamp) {
         match seg.kind {
--- a/crates/dillmill-core/src/target/target_flows.rs
+++ b/crates/dillmill-core/src/target/target_flows.rs
@@ -14,11 +14,8 @@
 use crate::segment::{Segment, SegmentKind};
 use crate::target_load::TargetLoad;
 use crate::target_speed::TargetSpeed;
-use crate::{FlowTuple, Timestamp};
+use crate::{FlowLifetimes, FlowTuple, Timestamp};
 
-/// How long a flow is kept after its last packet: longer than any sensible idle timeout of a
-/// flow, and long enough for late packets of a closed one.
-const FLOW_LIFETIME: Duration = Duration::from_secs(20);
 /// Maximum number of flows per generation, well above the number of connections that a target
 /// accepts.
 const CAPACITY: usize = 20_000;
@@ -65,8 +62,16 @@
 
 impl Default for TargetFlows {
     fn default() -> Self {
+        Self::new(FlowLifetimes::default().held())
+    }
+}
+
+impl TargetFlows {
+    /// Creates a table that keeps a flow for `lifetime` after its last packet.
+    #[must_use]
+    pub fn new(lifetime: Duration) -> Self {
         Self {
-            flows: GenerationCache::new(FLOW_LIFETIME, CAPACITY),
+            flows: GenerationCache::new(lifetime, CAPACITY),
             slot_use: SlotUse::default(),
             speed: TargetSpeed::default(),
             demand: FlowDemand::default(),
@@ -76,9 +81,12 @@
             last_answer: Timestamp::default(),
         }
     }
-}
 
-impl TargetFlows {
+    /// Sets the time for which a flow is kept after its last packet.
+    pub fn set_lifetime(&mut self, lifetime: Duration) {
+        self.flows.set_lifetime(lifetime);
+    }
+
     /// Records that the opening packet of a flow is delivered to the target; returns whether the
     /// target had not received it before.
     pub fn opening(&mut self, flow: FlowTuple, copies: u32, now: Timestamp) -> bool {
--- a/crates/dillmill-flow/src/agent_task.rs
+++ b/crates/dillmill-flow/src/agent_task.rs
@@ -164,7 +164,8 @@
         Ok(Self {
             gate: FlowGate::new(handle.process, settings.packets, tag, now)
                 .heartbeat_every(settings.heartbeat_every)
-                .address_kept_for(settings.address_reuse_after),
+                .address_kept_for(settings.address_reuse_after)
+                .max_flow_age(settings.max_flow_age),
             log: DecisionLog::new(handle.journal.clone(), now),
             views: handle.views(),
             handle,
@@ -287,6 +288,8 @@
             && routes.revision() > self.routes.revision
         {
             self.routes = Arc::new(routes.table().after(&self.routes));
+            self.gate.set_idle_timeout(routes.idle_timeout().duration());
+            self.caller_packets.set_lifetime(self.gate.lifetimes().held());
         }
         self.gate.set_cold_rate(self.routes.cold_rate(self.gate.service()));
     }
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -216,7 +216,7 @@
             let address = SocketAddrV4::new(*self.route().ip(), port);
             routes.push(route(&format!("unused-{port}"), address, other)?);
         }
-        let idle = Interval::from_millis(15_000);
+        let idle = self.layout.idle_timeout;
         let tree = RouteTree::new(Revision(version), idle, Vec::new(), routes)
             .map_err(StandinError::at("make a configuration"))?;
         let value = document::encode(&tree);
--- a/crates/dillmill-standins/src/flow_fleet/fleet_layout.rs
+++ b/crates/dillmill-standins/src/flow_fleet/fleet_layout.rs
@@ -1,6 +1,6 @@
-//! Layout of a fleet: link rate and data centres.
+//! Layout of a fleet: link rate, data centres and limits of flows.
 
-use dillmill_core::{LinkRate, ZoneName};
+use dillmill_core::{Interval, LinkRate, ZoneName};
 
 use crate::StandinError;
 use crate::target_capacity::TargetCapacity;
@@ -15,11 +15,13 @@
     /// Whether callers use two routes of different priority, to targets of few slots that take time for a
     /// request.
     pub overload: bool,
+    /// Time for which flows may rest, in the configuration.
+    pub idle_timeout: Interval,
 }
 
 impl Default for FleetLayout {
     fn default() -> Self {
-        Self { link: None, zones: 1, overload: false }
+        Self { link: None, zones: 1, overload: false, idle_timeout: Interval::from_millis(15_000) }
     }
 }
 
--- a/crates/dillmill-standins/src/flow_fleet/vm.rs
+++ b/crates/dillmill-standins/src/flow_fleet/vm.rs
@@ -53,6 +53,7 @@
             store,
             min_lease_ttl: Duration::from_secs(1),
             heartbeat_every: Duration::from_millis(200),
+            max_flow_age: Duration::from_mins(1),
             config_limit: Duration::from_secs(3),
             address_reuse_after: Duration::from_secs(2),
             stop_limit: Duration::from_secs(6),
--- a/crates/dillmill-standins/src/flow_soak/soak_plan.rs
+++ b/crates/dillmill-standins/src/flow_soak/soak_plan.rs
@@ -44,6 +44,7 @@
             link: THIN_LINK.parse().ok().filter(|_| seed >= FIRST_THIN_LINK_SEED && !planned),
             zones: if seed >= FIRST_ZONES_SEED { ZONES } else { 1 },
             overload: seed >= FIRST_OVERLOAD_SEED && !planned,
+            ..FleetLayout::default()
         };
         let (balancers, targets, callers) = match seed {
             FIRST_CROWDED_SEED.. => (12, 32, 24),
--- a/crates/dillmill-standins/tests/evacuated_fleets.rs
+++ b/crates/dillmill-standins/tests/evacuated_fleets.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dillmill_core::Interval;
 use dillmill_standins::flow_fleet::{FleetLayout, wait};
 use dillmill_standins::flow_target::FlowTarget;
 use dillmill_standins::platform::PlatformFaults;
@@ -9,7 +10,12 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Targets alternate between `zone-1` and `zone-2`.
-const LAYOUT: FleetLayout = FleetLayout { link: None, zones: 2, overload: false };
+const LAYOUT: FleetLayout = FleetLayout {
+    link: None,
+    zones: 2,
+    overload: false,
+    idle_timeout: Interval::from_millis(15_000),
+};
 /// VMs of the targets in `zone-2`, which the tests evacuate.
 const EVACUATED_VMS: [&str; 2] = ["orders-2", "orders-4"];
 
