--- a/crates/dillmill-core/src/membership/fleet_size.rs
+++ b/crates/dillmill-core/src/membership/fleet_size.rs
@@ -1,7 +1,6 @@
 //! The steady-state number of processes in the fleet, as kept in the platform's store.
 
 use std::fmt;
-use std::num::ParseIntError;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -13,6 +12,16 @@
 #[serde(transparent)]
 pub struct FleetSize(pub u32);
 
+/// Error for text that is not a [`FleetSize`].
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a number of processes up to {max}", max = FleetSize::MAX)]
+pub struct FleetSizeError(String);
+
+impl FleetSize {
+    /// Largest number that can be the size of a fleet. Processes that start wait in proportion to it.
+    pub const MAX: Self = Self(20_000);
+}
+
 impl fmt::Display for FleetSize {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
@@ -20,10 +29,11 @@
 }
 
 impl FromStr for FleetSize {
-    type Err = ParseIntError;
+    type Err = FleetSizeError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.trim().parse().map(Self)
+        let size = text.trim().parse().ok().map(Self);
+        size.filter(|size| *size <= Self::MAX).ok_or_else(|| FleetSizeError(text.to_owned()))
     }
 }
 
--- a/crates/dillmill-flow/src/operator_watch.rs
+++ b/crates/dillmill-flow/src/operator_watch.rs
@@ -180,11 +180,7 @@
                     return;
                 }
                 size_read = true;
-                if let Err(report) = self.read_size().await {
-                    self.handle.metrics.platform_errors.inc();
-                    let cause = report.current_context().to_string();
-                    self.handle.journal.record(EventKind::Platform, "fleet size not read", cause);
-                }
+                self.read_size().await;
             }
             compio::time::sleep(PEER_POLL_INTERVAL).await;
         }
@@ -266,7 +262,8 @@
     async fn read_all(&mut self) -> StoreResult<()> {
         let current = self.entries.read_all(&self.store, self.freshness).await?;
         self.continue_after(current);
-        self.read_size().await
+        self.read_size().await;
+        Ok(())
     }
 
     /// Sets the version after which the watch continues.
@@ -275,25 +272,29 @@
         self.known.set(self.known.get().max(Some(version)));
     }
 
-    /// Reads the stored size of the fleet, unless it is known already.
-    async fn read_size(&self) -> StoreResult<()> {
+    /// Reads the stored size of the fleet, unless it is known already. Without it processes only start later,
+    /// so a failure is logged, and the watch goes on.
+    async fn read_size(&self) {
         let known = |view: &Arc<View>| view.stored_size != StoredSize::default();
         if self.view.as_ref().is_some_and(known) {
-            return Ok(());
+            return;
         }
-        let Some(entry) = self.store.get(FLEET_SIZE_KEY, Freshness::MayBeStale).await? else {
-            return Ok(());
+        let entry = match self.store.get(FLEET_SIZE_KEY, Freshness::MayBeStale).await {
+            Ok(Some(entry)) => entry,
+            Ok(None) => return,
+            Err(report) => {
+                self.handle.metrics.platform_errors.inc();
+                let cause = report.current_context().to_string();
+                self.handle.journal.record(EventKind::Platform, "fleet size not read", cause);
+                return;
+            }
         };
-        match std::str::from_utf8(&entry.value).ok().and_then(|text| text.parse().ok()) {
-            Some(size) => {
+        let text = String::from_utf8_lossy(&entry.value);
+        match text.parse() {
+            Ok(size) => {
                 self.handle.put_stored_size(StoredSize { size, version: entry.version.0 });
             }
-            None => unreadable::record_entry(
-                &self.handle,
-                &entry.key,
-                "value is not a number of processes",
-            ),
+            Err(e) => unreadable::record_entry(&self.handle, &entry.key, &e.to_string()),
         }
-        Ok(())
     }
 }
--- a/crates/dillmill-flow/src/session.rs
+++ b/crates/dillmill-flow/src/session.rs
@@ -253,7 +253,7 @@
         let mut peers = Vec::with_capacity(page.entries.len());
         for entry in &page.entries {
             let control = std::str::from_utf8(&entry.value).ok().and_then(|text| text.parse().ok());
-            match control {
+            match control.filter(|addr: &SocketAddrV4| addr.port() != 0) {
                 Some(addr) => peers.push(addr),
                 None => unreadable::record_entry(
                     &self.handle,
--- a/crates/dillmill-standins/src/flow_fleet.rs
+++ b/crates/dillmill-standins/src/flow_fleet.rs
@@ -225,6 +225,17 @@
         Ok(())
     }
 
+    /// Writes an entry into the store, as another writer may.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the write to the store fails.
+    pub async fn write_entry(&self, key: &str, value: &str) -> Result<(), StandinError> {
+        let put = self.store.put(key, value.as_bytes().to_vec(), LeaseId::default()).await;
+        put.map_err(|e| StandinError::new("write an entry", e.current_context()))?;
+        Ok(())
+    }
+
     /// Orders the evacuation of a data centre, or withdraws the order.
     ///
     /// # Errors
--- a/crates/dillmill-standins/tests/flow_fleets.rs
+++ b/crates/dillmill-standins/tests/flow_fleets.rs
@@ -543,3 +543,42 @@
         Ok(())
     });
 }
+
+/// Entries that another writer has left among those of the processes, odd in each way, end no process and
+/// keep none from following the settings, also after a loss of power of all. The size of the fleet had made
+/// starting processes wait for days.
+#[test]
+fn odd_entries_ignored() {
+    on_runtime(async {
+        let mut fleet = FlowFleet::start(3, &[("orders", 2), ("labels", 1)]).await?;
+        fleet.set_routes(2, "orders", &["labels"]).await?;
+        let deep = "[".repeat(100_000);
+        for (n, odd) in
+            [&deep, "127.0.0.1:99999", "127.0.0.1:0", "1e999", "\u{0}"].iter().enumerate()
+        {
+            fleet.write_entry(&format!("dillmill/processes/{n}"), odd).await?;
+            fleet.write_entry(&format!("op/odd-{n}"), odd).await?;
+        }
+        fleet.write_entry("dillmill/fleet-size", "4294967295").await?;
+        // The seed, which waits for nobody, does not come back.
+        let names = fleet.names();
+        for name in &names {
+            fleet.kill(name)?;
+        }
+        let others: Vec<&String> = names.iter().filter(|name| *name != "balancer-1").collect();
+        for name in &others {
+            fleet.run(name)?;
+        }
+        let router = fleet.router();
+        wait(WAIT_TIMEOUT, "readiness of two balancers", || router.ready() == 2).await?;
+        fleet.set_routes(3, "orders", &["labels"]).await?;
+        let changed = Instant::now();
+        for name in others {
+            while fleet.metric(name, "dillmill_settings_revision").await? < 3.0 {
+                assert!(changed.elapsed() < CONFIG_LIMIT, "{name} lacks the change");
+                compio::time::sleep(Duration::from_millis(25)).await;
+            }
+        }
+        Ok(())
+    });
+}
--- a/crates/dillmill-store/src/settings_store.rs
+++ b/crates/dillmill-store/src/settings_store.rs
@@ -134,7 +134,8 @@
         if tree.revision == Revision(0)
             && let Some(entry) = self.entries.get(SNAPSHOT_KEY).await?
         {
-            *tree = self.decode(&entry.value)?;
+            // Without a readable snapshot, all changes are read.
+            *tree = self.decode(&entry.value).unwrap_or_default();
         }
         while let Some(change) = self.change(tree.revision.next()).await? {
             if tree.apply(&change).is_err() {
