test(soak): outages of many machines, connections and targets

Seeds from 15000 on take the power from all registered machines and a third of the others, crash targets whose address is used again 2 s later, silence all or the idle connections to the store, and change the route in between.

No rule of the platform is broken. Not mended here; the seed is a test and listed in KNOWN-RED.txt.

--- a/crates/dillmill-standins/src/flow_fleet/processes.rs
+++ b/crates/dillmill-standins/src/flow_fleet/processes.rs
@@ -98,10 +98,20 @@
     ///
     /// Fails if the VM has no running process.
     pub fn power_off(&mut self, name: &str) -> Result<(), StandinError> {
-        self.vm(name)?.target = None;
+        self.crash_target(name)?;
         self.kill(name)
     }
 
+    /// Ends the target of a VM at once, if it has one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such VM.
+    pub fn crash_target(&mut self, name: &str) -> Result<(), StandinError> {
+        self.vm(name)?.target = None;
+        Ok(())
+    }
+
     /// Requests the planned stop of the process of a VM, and returns whether it ended with success.
     ///
     /// # Errors
--- a/crates/dillmill-standins/src/flow_soak.rs
+++ b/crates/dillmill-standins/src/flow_soak.rs
@@ -6,6 +6,7 @@
 mod burst;
 mod expectations;
 mod faults;
+mod outages;
 mod planned;
 mod soak_plan;
 mod soak_report;
--- a/crates/dillmill-standins/src/flow_soak/faults.rs
+++ b/crates/dillmill-standins/src/flow_soak/faults.rs
@@ -76,6 +76,9 @@
         if self.plan.reused_ports {
             return self.next_with_reused_ports(fleet).await;
         }
+        if self.plan.outages {
+            return self.next_outage(fleet).await;
+        }
         let kinds = match (self.plan.layout.zones, self.plan.layout.overload) {
             (_, true) => 19,
             (1, false) => 12,
--- a/crates/dillmill-standins/tests/flow_soaks.rs
+++ b/crates/dillmill-standins/tests/flow_soaks.rs
@@ -16,6 +16,8 @@
 //!   it had not heard yet that its siblings serve, see `early_leave_served`.
 //! - 10117: packets of new flows on ports used again went to the targets of earlier flows, see
 //!   `later_flow_of_a_port_found`.
+//! - 15000: after the loss of many machines, a request on an open flow of a live target got no answer for 4.8 s:
+//!   each search for its owner went to the same lost agent. Listed in KNOWN-RED.txt.
 //! - 20010: a stop signal killed a process that had just started, see `early_stop_obeyed`.
 //!
 //! Seed 301 runs with thin links, seed 401 with two data centres that are evacuated in turn, seed 501
@@ -30,7 +32,7 @@
 
 #[rstest]
 fn promises_hold(
-    #[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504, 9146, 9158, 9229, 20_010, 10_117)]
+    #[values(1, 2, 10, 19, 48, 301, 401, 501, 503, 504, 9146, 9158, 9229, 20_010, 10_117, 15_000)]
     seed: u64,
 ) {
     let runtime = compio::runtime::Runtime::new().unwrap();
