--- a/crates/dillmill-flow/src/agent_task/heartbeats.rs
+++ b/crates/dillmill-flow/src/agent_task/heartbeats.rs
@@ -22,7 +22,7 @@
 pub(super) struct EarlyHeartbeat {
     run: TargetRun,
     heartbeat: Heartbeat,
-    at: Timestamp,
+    sent: Timestamp,
 }
 
 impl AgentTask {
@@ -52,12 +52,14 @@
             EndpointCall::Target(TargetCall::Heartbeat { run, heartbeat }, tx) => {
                 if let Some(reason) = self.rejection_reason(&run, &heartbeat) {
                     self.reject_call(&format!("heartbeat of {run}: {reason}"), now);
-                    self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, at: now });
+                    let sent = self.earliest_sending(now);
+                    self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, sent });
                     // Fails only if the caller has disconnected.
                     let _ = tx.send(CallOutcome::Refused);
                     return;
                 }
-                let change = self.apply_heartbeat(&run, &heartbeat, now);
+                let sent = self.earliest_sending(now);
+                let change = self.apply_heartbeat(&run, &heartbeat, sent, now);
                 let _ = tx.send(CallOutcome::Acknowledged);
                 self.apply_run_change(change, now).await;
             }
@@ -89,20 +91,20 @@
     /// Applies the last refused heartbeat if the configuration names its service by now. New flows of the
     /// service are refused until an agent announces a target, so the target's next heartbeat is too late.
     pub(super) async fn apply_early_heartbeat(&mut self, now: Timestamp) {
-        let Some(EarlyHeartbeat { run, heartbeat, at }) = self.early_heartbeat.take() else {
+        let Some(EarlyHeartbeat { run, heartbeat, sent }) = self.early_heartbeat.take() else {
             return;
         };
-        if self.runs.is_overdue(at, now) {
+        if self.runs.is_overdue(sent, now) {
             return;
         }
         if self.rejection_reason(&run, &heartbeat).is_some() {
-            self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, at });
+            self.early_heartbeat = Some(EarlyHeartbeat { run, heartbeat, sent });
             return;
         }
         let what = format!("heartbeat {} of target {run}", heartbeat.number);
         let cause = format!("the configuration names service {}", heartbeat.service);
         self.handle.journal.record(EventKind::Member, what, cause);
-        let change = self.apply_heartbeat(&run, &heartbeat, now);
+        let change = self.apply_heartbeat(&run, &heartbeat, sent, now);
         self.apply_run_change(change, now).await;
         self.announce(now);
     }
@@ -153,11 +155,12 @@
         }
     }
 
-    /// Applies a heartbeat; returns what happens to flows that an earlier run of the target accepted.
+    /// Applies a heartbeat that was sent at `sent` or later; returns what happens to flows that an earlier run of the target accepted.
     fn apply_heartbeat(
         &mut self,
         run: &TargetRun,
         heartbeat: &Heartbeat,
+        sent: Timestamp,
         now: Timestamp,
     ) -> RunChange {
         let change = match self.runs.heartbeat(run, heartbeat.number, now) {
@@ -172,7 +175,7 @@
             }
         };
         self.early_heartbeat = None;
-        self.gate.heartbeat(self.earliest_sending(now));
+        self.gate.heartbeat(sent);
         self.gate.set_cold(Duration::from_millis(heartbeat.cold_ms), now);
         let standing = match heartbeat.state {
             TargetState::Ready => TargetStanding::Ready,
--- a/crates/dillmill-flow/src/operator_watch.rs
+++ b/crates/dillmill-flow/src/operator_watch.rs
@@ -260,7 +260,11 @@
     }
 
     async fn read_all(&mut self) -> StoreResult<()> {
+        let asked = self.handle.clock.now();
         let current = self.entries.read_all(&self.store, self.freshness).await?;
+        if self.freshness == Freshness::Newest {
+            self.handle.confirm_settings(asked);
+        }
         self.continue_after(current);
         self.read_size().await;
         Ok(())
